--- /dev/null
+++ b/core/src/main/kotlin/dev/bronzeshore/core/Clock.kt
@@ -0,0 +1,5 @@
+/** Time source used by every part, passed in so that tests can control it. */
+package dev.bronzeshore.core
+
+/** Returns the current wall-clock time in milliseconds since the Unix epoch. */
+public typealias ClockMs = () -> Long
