Add platform clients, peering and job handling

Cause: the thin path needs calls to the platform, calls between processes and the life cycle of jobs.

--- a/core/src/main/kotlin/dev/bronzeshore/core/ResultCode.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/ResultCode.kt
@@ -52,6 +52,12 @@
         "A write was sent and its outcome is not known; repeat with the same key.",
     ),
     LEASE_LOST(3003, 502, Outcome.UNKNOWN, "The worker was lost while a part that may not be repeated was running."),
+    CANCELLED_LATE(
+        3004,
+        200,
+        Outcome.UNKNOWN,
+        "The work was cancelled after it may have started; no part runs any more.",
+    ),
 
     VERSION_CONFLICT(4001, 409, Outcome.NOT_RUN, "The current version differs from the expected one."),
     KEY_REUSED(4002, 409, Outcome.NOT_RUN, "The idempotency key was used for different content."),
--- a/core/src/main/kotlin/dev/bronzeshore/core/WorkPlacer.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/WorkPlacer.kt
@@ -61,6 +61,9 @@
     /** Replaces the allowances of this data centre. */
     public fun setAllowances(allowances: List<Allowance>)
 
+    /** Says why a job can never run here, without queueing it. */
+    public fun check(item: WorkItem): Either<Fault, Unit>
+
     /** Queues a job, or says why it can never run here. */
     public fun submit(item: WorkItem): Either<Fault, Unit>
 
--- /dev/null
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/TaskDispatcher.kt
@@ -0,0 +1,185 @@
+/** Sends the placer's decisions to workers and takes their reports. */
+package dev.bronzeshore.jobs
+
+import dev.bronzeshore.core.CLOCK_DRIFT_MS
+import dev.bronzeshore.core.Decisions
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.Outcome
+import dev.bronzeshore.core.Placement
+import dev.bronzeshore.core.Preemption
+import dev.bronzeshore.core.ResultCode
+import dev.bronzeshore.core.TASK_LEASE_MS
+import dev.bronzeshore.core.TaskOrder
+import dev.bronzeshore.core.TaskRenewal
+import dev.bronzeshore.core.TaskStart
+import dev.bronzeshore.core.WorkerCommands
+import dev.bronzeshore.core.WorkerReport
+import kotlinx.coroutines.launch
+
+/** Attempt numbers of one term; terms never share numbers, so a new owner cannot repeat one. */
+private const val ATTEMPTS_PER_TERM = 1_000_000L
+
+/** Consecutive failed calls after which a worker gets no new work. */
+private const val FAILED_CALLS_LIMIT = 2
+
+internal class TaskDispatcher(
+    private val context: JobsContext,
+    private val tracker: JobTracker,
+    private val sessions: WorkerSessions,
+) {
+    private var attemptsUsed = 0L
+
+    /** Carries out one round of decisions; does nothing without the right to act. */
+    fun dispatch(decisions: Decisions) {
+        decisions.refusals.forEach { refusal ->
+            tracker.find(refusal.jobId)?.let { tracker.refuse(it, refusal.fault.code) }
+        }
+        decisions.preemptions.forEach(::preempt)
+        decisions.placements.groupBy { it.workerId }.forEach { (workerId, placements) ->
+            val starts = placements.mapNotNull(::prepareStart)
+            val session = sessions.find(workerId)
+            if (session != null && starts.isNotEmpty()) context.scope.launch { sendStarts(session, starts) }
+        }
+        decisions.preemptions.map { it.workerId }.distinct().mapNotNull(sessions::find).forEach { session ->
+            context.scope.launch { exchange(session, starts = emptyList()) }
+        }
+    }
+
+    private fun preempt(preemption: Preemption) {
+        val job = tracker.find(preemption.jobId) ?: return
+        val task = job.taskId(job.parts[preemption.part])
+        sessions.find(preemption.workerId)?.addOrder(TaskOrder(task, preemption.action))
+        context.listeners.onPreemption(preemption.jobId, preemption.part, preemption.workerId)
+        context.log.info { "Stopped part ${preemption.part} of job ${preemption.jobId} for more urgent work." }
+    }
+
+    private fun prepareStart(placement: Placement): TaskStart? {
+        val job = tracker.find(placement.jobId) ?: return null
+        val part = job.parts[placement.part]
+        check(part.state == PartState.PENDING) { "part ${part.index} of ${job.jobId} placed while ${part.state}" }
+        val session = sessions.find(placement.workerId)
+        if (session == null) {
+            tracker.giveBack(job, part.apply { workerId = placement.workerId })
+            return null
+        }
+        part.state = PartState.STARTING
+        part.workerId = placement.workerId
+        part.attempt = context.authority.term * ATTEMPTS_PER_TERM + attemptsUsed++
+        part.startBeforeMs = minOf(context.authority.actUntilMs(), job.toWorkItem().startBeforeMs ?: Long.MAX_VALUE)
+        part.leaseUntilMs = context.clock() + TASK_LEASE_MS
+        session.lastLeaseUntilMs = maxOf(session.lastLeaseUntilMs, part.leaseUntilMs)
+        return startOf(job, part)
+    }
+
+    private fun startOf(job: TrackedJob, part: TrackedPart) = TaskStart(
+        task = job.taskId(part),
+        size = job.record.submission.size,
+        kind = job.kind.name,
+        payload = job.record.submission.payload,
+        startBeforeMs = part.startBeforeMs,
+        leaseUntilMs = part.leaseUntilMs,
+        runMs = job.record.submission.declaredRunMs,
+    )
+
+    private suspend fun sendStarts(session: WorkerSession, starts: List<TaskStart>) {
+        val fault = if (context.mayAct()) {
+            exchange(
+                session,
+                starts,
+            )
+        } else {
+            Fault(ResultCode.NOT_OWNER, "The lease ran out.")
+        }
+        if (fault != null && fault.code.outcome == Outcome.NOT_RUN) {
+            starts.forEach { start ->
+                val job = tracker.find(start.task.jobId)
+                val part = job?.parts?.get(start.task.part)
+                val isCurrent = part?.state == PartState.STARTING && part.attempt == start.task.attempt
+                if (job != null && part != null && isCurrent) tracker.giveBack(job, part)
+            }
+        }
+    }
+
+    /** Renews all leases on a worker and takes its report. */
+    suspend fun heartbeat(session: WorkerSession) {
+        if (context.mayAct()) exchange(session, starts = emptyList(), renewals = renewalsFor(session))
+    }
+
+    private fun renewalsFor(session: WorkerSession): List<TaskRenewal> {
+        val leaseUntilMs = context.clock() + TASK_LEASE_MS
+        val parts = tracker.openJobs.flatMap { job -> job.parts.filter { it.isOn(session) }.map { job to it } }
+        if (parts.isNotEmpty()) session.lastLeaseUntilMs = maxOf(session.lastLeaseUntilMs, leaseUntilMs)
+        return parts.map { (job, part) ->
+            part.leaseUntilMs = leaseUntilMs
+            TaskRenewal(job.taskId(part), leaseUntilMs)
+        }
+    }
+
+    private suspend fun exchange(
+        session: WorkerSession,
+        starts: List<TaskStart>,
+        renewals: List<TaskRenewal> = emptyList(),
+    ): Fault? {
+        val orders = session.pendingOrders()
+        val acknowledged = session.pendingAcknowledgements()
+        val commands = WorkerCommands(starts, renewals, orders, acknowledged)
+        return context.workerApi(session.vm.address, commands).fold(
+            { fault ->
+                onFailedCall(session)
+                fault
+            },
+            { report ->
+                session.delivered(orders, acknowledged)
+                onReport(session, report)
+                null
+            },
+        )
+    }
+
+    private fun onFailedCall(session: WorkerSession) {
+        session.failedCalls++
+        if (session.failedCalls >= FAILED_CALLS_LIMIT) session.isTrusted = false
+        sessions.publish(session)
+    }
+
+    private fun onReport(session: WorkerSession, report: WorkerReport) {
+        session.failedCalls = 0
+        val isFromThisTerm = report.observedAtMs > context.authority.previousOverAtMs + CLOCK_DRIFT_MS
+        if (!isFromThisTerm || report.observedAtMs < session.observedAtMs) return
+        session.observedAtMs = report.observedAtMs
+        session.reportedCapacity = report.capacity
+        session.isTrusted = true
+        report.tasks.forEach { tracker.onStatus(session.workerId, it) }
+        giveUpUnlisted(session, report)
+        sessions.publish(session)
+    }
+
+    /** A start that its worker can no longer accept and does not list has not happened. */
+    private fun giveUpUnlisted(session: WorkerSession, report: WorkerReport) {
+        val listed = report.tasks.mapTo(HashSet()) { it.task }
+        tracker.openJobs.toList().forEach { job ->
+            job.parts.filter { it.isOn(session) && job.taskId(it) !in listed }
+                .filter { report.observedAtMs > it.startBeforeMs + CLOCK_DRIFT_MS }
+                .forEach { part ->
+                    if (part.state ==
+                        PartState.STARTING
+                    ) {
+                        tracker.giveBack(job, part)
+                    } else {
+                        tracker.lose(job, part, job.taskId(part))
+                    }
+                }
+        }
+    }
+
+    /** Gives up parts whose worker has been silent until after the end of their leases. */
+    fun giveUpSilent() {
+        val now = context.clock()
+        tracker.openJobs.toList().forEach { job ->
+            job.parts.filter { it.isOnWorker && now > it.leaseUntilMs + 2 * CLOCK_DRIFT_MS }
+                .forEach { tracker.lose(job, it, job.taskId(it)) }
+        }
+    }
+
+    private fun TrackedPart.isOn(session: WorkerSession) = isOnWorker && workerId == session.workerId
+}
--- /dev/null
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/TrackedJob.kt
@@ -0,0 +1,79 @@
+/** The owner's view of one job that has not ended. */
+package dev.bronzeshore.jobs
+
+import dev.bronzeshore.core.JobRecord
+import dev.bronzeshore.core.PartResult
+import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.TaskId
+import dev.bronzeshore.core.WorkItem
+import dev.bronzeshore.core.WorkKind
+
+/** Where one part stands. */
+internal enum class PartState {
+    /** Not seen since the takeover; it may still run on a worker that has not reported. */
+    UNACCOUNTED,
+
+    /** In the placer's queue. */
+    PENDING,
+
+    /** A start command was sent and the worker has not confirmed it. */
+    STARTING,
+
+    RUNNING,
+
+    /** Stopped so that the whole gang can start again. */
+    HELD,
+
+    ENDED,
+}
+
+/** One part; the deadlines are those last sent to its worker. */
+internal class TrackedPart(val index: Int) {
+    var state: PartState = PartState.PENDING
+    var workerId: String = ""
+    var attempt: Long = 0
+    var startBeforeMs: Long = 0
+    var startedAtMs: Long = 0
+    var leaseUntilMs: Long = 0
+    var failures: Int = 0
+
+    /** Stays true once any attempt may have run, so that the job is never reported as "not run". */
+    var mayHaveRun: Boolean = false
+    var result: PartResult? = null
+
+    val isOnWorker: Boolean get() = state == PartState.STARTING || state == PartState.RUNNING
+}
+
+internal class TrackedJob(var record: JobRecord, val kind: WorkKind) {
+    val parts: List<TrackedPart> = List(record.submission.parts) { TrackedPart(it) }
+    var isCancelled: Boolean = false
+
+    /** True once the final record is in the journal; the job changes no more. */
+    var isEnding: Boolean = false
+    var isRestarting: Boolean = false
+
+    val jobId: String get() = record.jobId
+    val mayHaveRun: Boolean get() = parts.any { it.mayHaveRun }
+    val startsTogether: Boolean get() = record.submission.allAtOnce || kind.policy == Policy.GANG
+
+    fun taskId(part: TrackedPart): TaskId = TaskId(jobId, part.index, part.attempt)
+
+    /** The latest start applies to the first start only; a part that was stopped later waits without a deadline. */
+    fun toWorkItem(): WorkItem = record.toWorkItem(kind).copy(
+        startBeforeMs = record.submission.startBeforeMs.takeUnless { mayHaveRun },
+        pendingParts = parts.filter { it.state == PartState.PENDING }.map { it.index },
+    )
+}
+
+internal fun JobRecord.toWorkItem(kind: WorkKind): WorkItem = WorkItem(
+    jobId = jobId,
+    plan = plan,
+    kind = kind,
+    urgency = submission.urgency,
+    size = submission.size,
+    parts = submission.parts,
+    allAtOnce = submission.allAtOnce || kind.policy == Policy.GANG,
+    acceptedAtMs = acceptedAtMs,
+    startBeforeMs = submission.startBeforeMs,
+    declaredRunMs = submission.declaredRunMs,
+)
--- /dev/null
+++ b/peering/src/main/kotlin/dev/bronzeshore/peering/PeerLink.kt
@@ -0,0 +1,83 @@
+/** One connection to a peer with its calls in flight. */
+package dev.bronzeshore.peering
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+internal class PeerLink(
+    private val selector: SelectorManager,
+    private val address: String,
+    private val scope: CoroutineScope,
+) {
+    private val pending = ConcurrentHashMap<Long, CompletableDeferred<Frame>>()
+    private val nextId = AtomicLong(1)
+    private val writeLock = Mutex()
+    private var output: ByteWriteChannel? = null
+
+    @Volatile
+    var isClosed: Boolean = false
+        private set
+
+    suspend fun call(name: String, body: ByteArray, deadlineMs: Long): Frame {
+        val id = nextId.getAndIncrement()
+        val reply = CompletableDeferred<Frame>()
+        pending[id] = reply
+        try {
+            send(Frame(id, name, isReply = false, deadlineMs = deadlineMs, body = body))
+            if (isClosed) throw IOException("the connection was closed")
+            return reply.await()
+        } finally {
+            pending.remove(id)
+        }
+    }
+
+    private suspend fun send(frame: Frame) = try {
+        writeLock.withLock { FrameCodec.write(output ?: connect().also { output = it }, frame) }
+    } catch (failure: Exception) {
+        // A cancelled write may leave half a frame on the connection, so the link is never used again.
+        close(failure)
+        throw failure
+    }
+
+    private suspend fun connect(): ByteWriteChannel {
+        val host = address.substringBeforeLast(':')
+        val port = address.substringAfterLast(':').toInt()
+        val socket = aSocket(selector).tcp().connect(host, port) { noDelay = true }
+        val input = socket.openReadChannel()
+        scope.launch { readReplies(socket, input) }
+        return socket.openWriteChannel()
+    }
+
+    private suspend fun readReplies(socket: Socket, input: ByteReadChannel) {
+        try {
+            while (true) {
+                val frame = FrameCodec.read(input).getOrNull() ?: break
+                pending.remove(frame.id)?.complete(frame)
+            }
+        } catch (failure: Exception) {
+            close(failure)
+            throw failure as? kotlinx.coroutines.CancellationException ?: return
+        } finally {
+            close(IOException("the connection ended"))
+            socket.close()
+        }
+    }
+
+    private fun close(cause: Exception) {
+        isClosed = true
+        pending.values.forEach { it.completeExceptionally(IOException(cause.message ?: "connection closed", cause)) }
+    }
+}
