Place queued work on workers

Cause: nothing implements the interface WorkPlacer yet. Conclusion: correct enough for the job handling to be wired to it.

--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/JobChecker.kt
@@ -0,0 +1,56 @@
+/** Finds jobs that can never start here, so that they get a numbered answer and never block a queue. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.Refusal
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.ResultCode
+import dev.bronzeshore.core.WorkItem
+
+internal class JobChecker(private val clock: ClockMs, private val workers: WorkerTable, private val book: JobBook) {
+    /** True once allowances were set; until then no job is refused for its plan. */
+    var allowancesKnown: Boolean = false
+
+    /** Set when the fleet or an allowance changed, so that queued jobs are checked again. */
+    var fleetChanged: Boolean = false
+
+    fun impossible(item: WorkItem): Fault? {
+        val together = if (item.isGang()) item.pendingParts.size else 1
+        if (!workers.fitsEmptyFleet(item.size, together)) {
+            return Fault(ResultCode.FITS_NOWHERE, "no worker of the fleet fits ${item.size} x $together, even empty")
+        }
+        val limit = book.plans[item.plan]?.limit ?: Resources.NONE
+        return if (allowancesKnown && !(item.size * together).fitsIn(limit)) {
+            Fault(ResultCode.OVER_ALLOWANCE, "${item.size} x $together exceeds the allowance of plan ${item.plan}")
+        } else {
+            null
+        }
+    }
+
+    fun passed(item: WorkItem): Fault? {
+        val startBeforeMs = item.startBeforeMs ?: return null
+        return if (startBeforeMs < clock()) deadlinePassed() else null
+    }
+
+    /** Ends queued jobs whose latest start has passed or that became impossible. */
+    fun refuseEnded(refusals: MutableList<Refusal>) {
+        val nowMs = clock()
+        while (true) {
+            val job = book.deadlines.pollPassed(nowMs) ?: break
+            refuse(job, deadlinePassed(), refusals)
+        }
+        if (!fleetChanged) return
+        fleetChanged = false
+        for (job in book.jobs.values.filter { it.shapeQueue != null && !it.started }) {
+            impossible(job.item)?.let { refuse(job, it, refusals) }
+        }
+    }
+
+    private fun refuse(job: JobEntry, fault: Fault, refusals: MutableList<Refusal>) {
+        book.drop(job)
+        refusals.add(Refusal(job.item.jobId, fault))
+    }
+
+    private fun deadlinePassed(): Fault = Fault(ResultCode.DEADLINE_PASSED, "the latest start deadline has passed")
+}
--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
@@ -0,0 +1,31 @@
+/** Pending jobs of one kind that ask for the same: either the first of them can be placed, or none can. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.Urgency
+import java.util.TreeSet
+
+/** What makes two pending jobs interchangeable for the fit check; [gangParts] is 0 unless all parts start at once. */
+internal data class Shape(val urgency: Urgency, val size: Resources, val gangParts: Int)
+
+/** Why a queue of equal jobs is not tried. */
+internal enum class QueueState { EMPTY, READY, WAITS_FOR_ROOM, WAITS_FOR_LIMIT }
+
+internal class ShapeQueue(val kindQueue: KindQueue, val shape: Shape) : Comparable<ShapeQueue> {
+    val jobs: TreeSet<JobEntry> = TreeSet()
+    var state: QueueState = QueueState.EMPTY
+
+    /** Room that has to be free at once: all parts of a gang, or one part. */
+    val wanted: Resources = if (shape.gangParts > 0) shape.size * shape.gangParts else shape.size
+
+    /** Position in the list of blocked queues, or -1. */
+    var blockedAt: Int = -1
+
+    private val rank: Int = if (kindQueue.kind.policy == Policy.IMPORTANT) 0 else shape.urgency.ordinal
+
+    override fun compareTo(other: ShapeQueue): Int {
+        val byRank = rank.compareTo(other.rank)
+        return if (byRank != 0) byRank else jobs.first().compareTo(other.jobs.first())
+    }
+}
--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WorkQueue.kt
@@ -0,0 +1,98 @@
+/** All pending work: which queues may be tried, and which wait for room or for their plan's limit. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.Resources
+
+/** Moves queues of equal jobs between ready and blocked, so that a round touches only what may have changed. */
+internal class WorkQueue {
+    /** Kinds with at least one ready queue. */
+    val readyKinds: LinkedHashSet<KindQueue> = LinkedHashSet()
+
+    private val blocked: ArrayList<ShapeQueue> = ArrayList()
+
+    fun add(job: JobEntry) {
+        if (job.pending.isEmpty()) return
+        val gangParts = if (job.isGang) job.pending.size else 0
+        val shape = Shape(job.item.urgency, job.item.size, gangParts)
+        val queue = job.kindQueue.shapes.getOrPut(shape) { ShapeQueue(job.kindQueue, shape) }
+        val wasReady = queue.state == QueueState.READY
+        if (wasReady) unlink(queue)
+        queue.jobs.add(job)
+        job.shapeQueue = queue
+        if (wasReady || queue.state == QueueState.EMPTY) linkReady(queue)
+    }
+
+    fun remove(job: JobEntry) {
+        val queue = job.shapeQueue ?: return
+        val state = queue.state
+        unlink(queue)
+        queue.jobs.remove(job)
+        job.shapeQueue = null
+        when {
+            queue.jobs.isEmpty() -> queue.kindQueue.shapes.remove(queue.shape)
+            state == QueueState.READY -> linkReady(queue)
+            else -> block(queue, state)
+        }
+    }
+
+    fun block(queue: ShapeQueue, state: QueueState) {
+        unlink(queue)
+        queue.state = state
+        if (state == QueueState.WAITS_FOR_LIMIT) {
+            queue.kindQueue.plan.limited.add(queue)
+        } else {
+            queue.blockedAt = blocked.size
+            blocked.add(queue)
+        }
+    }
+
+    /** Makes ready what waits for room and may fit into [room] on one worker. */
+    fun roomFreed(room: Resources) {
+        var at = blocked.size - 1
+        while (at >= 0) {
+            val queue = blocked[at]
+            if (queue.shape.size.fitsIn(room)) makeReady(queue)
+            at--
+        }
+    }
+
+    /** Makes ready what waits for the limit of [plan] and may fit under it now. */
+    fun limitFreed(plan: PlanAccount) {
+        if (plan.limited.isEmpty()) return
+        val headroom = plan.headroom()
+        plan.limited.filter { it.wanted.fitsIn(headroom) }.forEach { makeReady(it) }
+    }
+
+    fun makeReady(queue: ShapeQueue) {
+        unlink(queue)
+        linkReady(queue)
+    }
+
+    private fun linkReady(queue: ShapeQueue) {
+        queue.state = QueueState.READY
+        queue.kindQueue.ready.add(queue)
+        readyKinds.add(queue.kindQueue)
+    }
+
+    private fun unlink(queue: ShapeQueue) {
+        when (queue.state) {
+            QueueState.READY -> {
+                queue.kindQueue.ready.remove(queue)
+                if (queue.kindQueue.ready.isEmpty()) readyKinds.remove(queue.kindQueue)
+            }
+            QueueState.WAITS_FOR_LIMIT -> queue.kindQueue.plan.limited.remove(queue)
+            QueueState.WAITS_FOR_ROOM -> unlinkBlocked(queue)
+            QueueState.EMPTY -> Unit
+        }
+        queue.state = QueueState.EMPTY
+    }
+
+    private fun unlinkBlocked(queue: ShapeQueue) {
+        val last = blocked.removeLast()
+        if (last !== queue) {
+            blocked[queue.blockedAt] = last
+            last.blockedAt = queue.blockedAt
+        }
+        queue.blockedAt = -1
+    }
+}
--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WorkerRoom.kt
@@ -0,0 +1,30 @@
+/** What one worker holds and what is taken from it. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.Resources
+
+/** Mutable room of one worker; [slot] is its position in the free-room index. */
+internal class WorkerRoom(val workerId: String, val slot: Int) {
+    var rack: String = ""
+    var capacity: Resources = Resources.NONE
+    var accepting: Boolean = false
+
+    /** True once the worker left the fleet while parts still had to be accounted for. */
+    var removed: Boolean = false
+
+    /** Sum of the charges of all parts on this worker. */
+    var charged: Resources = Resources.NONE
+
+    /** Room kept for work that is not placed yet. */
+    var held: Resources = Resources.NONE
+
+    val parts: LinkedHashSet<RunningPart> = LinkedHashSet()
+
+    /** Room left if every kept room were given away; negative where capacity shrank or estimates rose. */
+    val uncharged: Resources
+        get() = capacity - charged
+
+    /** Room that any work may take. */
+    val free: Resources
+        get() = capacity - charged - held
+}
