Check jobs against the whole fleet before acceptance

Cause: an impossible job was found only after its row was written, and right after a takeover every job looked impossible because no worker had reported. Change: WorkPlacer.check; workers that have not reported count as part of the fleet but get no work.

--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/DataCentreJobs.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/DataCentreJobs.kt
@@ -51,6 +51,9 @@
     private var journal: JobJournal? = null
     private var roster: WorkerRoster? = null
 
+    /** Without any view of the fleet every job would look impossible. */
+    private var workersKnown = false
+
     /** True once the parts of the former owner's jobs are accounted for. */
     public var isRecovered: Boolean = false
         private set
@@ -59,7 +62,10 @@
     public val openCount: Int get() = tracker.openJobs.size
 
     /** Takes the current view of the workers of this data centre. */
-    public fun updateWorkers(candidates: List<WorkerCandidate>): Unit = sessions.update(candidates)
+    public fun updateWorkers(candidates: List<WorkerCandidate>) {
+        sessions.update(candidates)
+        workersKnown = true
+    }
 
     /** Recovers, then runs until the scope is cancelled. */
     public suspend fun run() {
@@ -67,7 +73,7 @@
         context.scope.launch { journal?.run() }
         context.scope.launch { heartbeatLoop() }
         context.scope.launch { rosterLoop() }
-        while (!recovery.isComplete()) delay(DECIDE_EVERY_MS)
+        while (!workersKnown || !recovery.isComplete()) delay(DECIDE_EVERY_MS)
         recovery.queueUnaccounted()
         isRecovered = true
         context.log.info { "Recovered ${tracker.openJobs.size} open jobs of ${context.authority.dataCentre}." }
@@ -122,7 +128,7 @@
     ): Either<Fault, JobRecord> {
         val kind = context.kindOf(plan, submission.kind)
             ?: return Fault(ResultCode.UNKNOWN_KIND, "Plan $plan has no kind ${submission.kind}.", "kind").left()
-        val journal = journal?.takeIf { context.mayAct() } ?: return notOwner().left()
+        val journal = journal?.takeIf { workersKnown && context.mayAct() } ?: return notOwner().left()
         val jobId = JobRows.jobId(plan, idempotencyKey)
         tracker.find(jobId)?.let { return sameOrReused(it.record, submission) }
         val record = JobRecord(jobId, plan, submission, context.authority.dataCentre, context.clock())
--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/WorkerSessions.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/WorkerSessions.kt
@@ -32,7 +32,10 @@
 
     /** Adds workers of the former owner's roster that the VM list does not show. */
     fun addFromRoster(vms: List<Vm>) = vms.forEach { vm ->
-        byId.getOrPut(vm.id) { WorkerSession(vm) }.isInRoster = true
+        byId.getOrPut(vm.id) { WorkerSession(vm) }.also {
+            it.isInRoster = true
+            publish(it)
+        }
     }
 
     fun markInRoster(vms: List<Vm>) = vms.forEach { vm ->
@@ -57,10 +60,14 @@
         }
     }
 
-    /** Tells the placer what it may use; the smaller of the listed and the reported capacity counts. */
+    /**
+     * Tells the placer what it may use; the smaller of the listed and the reported capacity counts.
+     *
+     * A worker that has not reported gets no work, but it counts when a job is checked against the whole fleet.
+     */
     fun publish(session: WorkerSession) {
-        val reported = session.reportedCapacity ?: return
         val listed = session.vm.capacity
+        val reported = session.reportedCapacity ?: listed
         val capacity = Resources(
             minOf(listed.processorsMillicores, reported.processorsMillicores),
             minOf(listed.memoryBytes, reported.memoryBytes),
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
@@ -44,6 +44,9 @@
         }
     }
 
+    override fun check(item: WorkItem): Either<Fault, Unit> =
+        (checker.impossible(item) ?: checker.passed(item))?.left() ?: Unit.right()
+
     override fun submit(item: WorkItem): Either<Fault, Unit> {
         val known = book.jobs[item.jobId]
         if (known?.shapeQueue != null) return Unit.right()
