--- /dev/null
+++ b/plans/src/test/kotlin/dev/bronzeshore/plans/FakeTable.kt
@@ -0,0 +1,67 @@
+/** A table service in memory that can lose answers, be down, or serve stale reads. */
+package dev.bronzeshore.plans
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.ResultCode
+import dev.bronzeshore.core.Row
+import dev.bronzeshore.core.TableApi
+import dev.bronzeshore.core.Transaction
+import dev.bronzeshore.core.WriteResult
+
+/** What happens to one write. */
+internal enum class WriteFate { NORMAL, LOST_BEFORE, LOST_AFTER, DOWN }
+
+internal class FakeTable {
+    val rows = sortedMapOf<String, Row>()
+    val fates = ArrayDeque<WriteFate>()
+
+    /** Runs after the next write, for example to let another writer in. */
+    var afterWrite: suspend () -> Unit = {}
+    var readFault: Fault? = null
+
+    val api =
+        TableApi(
+            read = { key -> readFault?.left() ?: rows[key].right() },
+            readRange = { range ->
+                rows.values
+                    .filter { it.key.startsWith(range.prefix) && it.key > range.afterKey }
+                    .take(range.limit)
+                    .right()
+            },
+            write = ::write,
+        )
+
+    private suspend fun write(transaction: Transaction): Either<Fault, WriteResult> {
+        val fate = fates.removeFirstOrNull() ?: WriteFate.NORMAL
+        if (fate == WriteFate.DOWN) {
+            return Fault(ResultCode.STORE_UNAVAILABLE, "down").left()
+        }
+        val result = if (fate == WriteFate.LOST_BEFORE) null else applyNow(transaction)
+        val hook = afterWrite
+        afterWrite = {}
+        hook()
+        return if (fate == WriteFate.NORMAL && result != null) {
+            result.right()
+        } else {
+            Fault(ResultCode.WRITE_UNKNOWN, "answer lost").left()
+        }
+    }
+
+    private fun applyNow(transaction: Transaction): WriteResult {
+        for (condition in transaction.conditions) {
+            val actual = rows[condition.key]?.version ?: 0
+            if (actual != condition.version) {
+                return WriteResult.Conflict(condition.key, actual)
+            }
+        }
+        for (put in transaction.puts) {
+            val version = (rows[put.key]?.version ?: 0) + 1
+            rows[put.key] = Row(put.key, version, put.value, transaction.writeId)
+        }
+        transaction.deletes.forEach(rows::remove)
+        return WriteResult.Applied
+    }
+}
