--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobsContext.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobsContext.kt
@@ -15,6 +15,8 @@
     public val term: Long,
     /** From this time on nothing that the previous owner sent can still take effect. */
     public val previousOverAtMs: Long,
+    /** Counts the task attempts of this process; a term can be regained, so the count must not restart with it. */
+    public val nextAttempt: () -> Long,
     /** Deadline of the right; re-read right before each effect. */
     public val actUntilMs: () -> Long,
 )
--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/TaskDispatcher.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/TaskDispatcher.kt
@@ -27,8 +27,6 @@
     private val tracker: JobTracker,
     private val sessions: WorkerSessions,
 ) {
-    private var attemptsUsed = 0L
-
     /** Carries out one round of decisions; does nothing without the right to act. */
     fun dispatch(decisions: Decisions) {
         decisions.refusals.forEach { refusal ->
@@ -64,7 +62,7 @@
         }
         part.state = PartState.STARTING
         part.workerId = placement.workerId
-        part.attempt = context.authority.term * ATTEMPTS_PER_TERM + attemptsUsed++
+        part.attempt = context.authority.term * ATTEMPTS_PER_TERM + context.authority.nextAttempt()
         part.startBeforeMs = minOf(context.authority.actUntilMs(), job.toWorkItem().startBeforeMs ?: Long.MAX_VALUE)
         part.leaseUntilMs = context.clock() + TASK_LEASE_MS
         session.lastLeaseUntilMs = maxOf(session.lastLeaseUntilMs, part.leaseUntilMs)
