Add ownership of data centres with leases, deputies and takeover

An owner relies only on what holds for every row that the table may hold, so an unsettled change of deputy counts the minimum over the old and the new deputy. A re-read that finds the old version does not settle a write, because the write may still be on its way.

--- /dev/null
+++ b/ownership/src/main/kotlin/dev/bronzeshore/ownership/TableStep.kt
@@ -0,0 +1,12 @@
+/** What the ownership state machine asks of the table service next. */
+package dev.bronzeshore.ownership
+
+import dev.bronzeshore.core.Transaction
+
+internal sealed interface TableStep {
+    data object Read : TableStep
+
+    data class Write(val transaction: Transaction) : TableStep
+
+    data object Done : TableStep
+}
--- /dev/null
+++ b/ownership/src/test/kotlin/dev/bronzeshore/ownership/DataCentreOwnershipTest.kt
@@ -0,0 +1,158 @@
+package dev.bronzeshore.ownership
+
+import arrow.core.left
+import arrow.core.right
+import dev.bronzeshore.core.CLOCK_DRIFT_MS
+import dev.bronzeshore.core.ResultCode
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** The coroutine part: calls between an owner `a1` and a deputy `b1` that share a fake table and one fake clock. */
+class DataCentreOwnershipTest {
+    private var nowMs = 1_000_000L
+    private val table = FakeTable()
+    private val everybody =
+        listOf(
+            Member("a1", "a", "north", "a1:1"),
+            Member("b1", "b", "north", "b1:1"),
+            Member("c1", "c", "south", "c1:1"),
+        )
+    private val reachable = everybody.map { it.processId }.toMutableSet()
+    private val gained = ArrayList<Pair<String, Gained>>()
+    private val lost = ArrayList<Pair<String, Long>>()
+    private val processes: Map<String, DataCentreOwnership> =
+        everybody.associate { self -> self.processId to ownership(self) }
+    private val owner get() = processes.getValue("a1")
+    private val deputy get() = processes.getValue("b1")
+
+    private fun ownership(self: Member) = DataCentreOwnership(
+        dataCentre = "a",
+        self = self,
+        clock = { nowMs },
+        table = table.api,
+        callDeputy = { member, request ->
+            if (member.processId in reachable) {
+                processes.getValue(member.processId).onPromiseRequest(request).right()
+            } else {
+                fault(ResultCode.PEER_UNAVAILABLE).left()
+            }
+        },
+        members = { everybody },
+        onGained = { gained += self.processId to it },
+        onLost = { lost += self.processId to it },
+    )
+
+    private fun start() = runBlocking {
+        owner.tick()
+        assertTrue(owner.mayAct())
+        processes.values.forEach { it.tick() }
+    }
+
+    /** Ticks all named processes once a second for a period. */
+    private fun run(periodMs: Long, vararg ids: String) = runBlocking {
+        val untilMs = nowMs + periodMs
+        while (nowMs < untilMs) {
+            nowMs += RENEW_EVERY_MS
+            ids.forEach { processes.getValue(it).tick() }
+        }
+    }
+
+    @Test
+    fun `a local process takes an unowned data centre and a deputy elsewhere in the region is named`() {
+        start()
+        assertEquals(OwnershipState(true, 1, "a1", "b1", nowMs + LEASE_MS - CLOCK_DRIFT_MS), owner.state)
+        assertFalse(deputy.mayAct())
+    }
+
+    @Test
+    fun `ownership survives 30 minutes without the table, guards against relying on the lease alone`() {
+        start()
+        table.mode = TableMode.DOWN
+        run(1_800_000, "a1", "b1", "c1")
+        assertTrue(owner.mayAct())
+        assertEquals(listOf("a1"), gained.map { it.first })
+    }
+
+    @Test
+    fun `promises end before other processes may take over, guards against an unbounded outage`() {
+        start()
+        table.mode = TableMode.DOWN
+        run(OFFLINE_HORIZON_MS + LEASE_MS, "a1", "b1")
+        assertFalse(owner.mayAct())
+        table.mode = TableMode.UP
+        run(5_000, "c1")
+        assertTrue(processes.getValue("c1").mayAct())
+        assertFalse(owner.mayAct())
+    }
+
+    @Test
+    fun `a slow table does not delay a promise, guards against calls in sequence`() {
+        start()
+        val release = CompletableDeferred<Unit>()
+        table.beforeCall = { release.await() }
+        nowMs += 2_000
+        runBlocking {
+            val tick = launch { owner.tick() }
+            while (owner.actUntilMs != nowMs + LEASE_MS - CLOCK_DRIFT_MS) yield()
+            release.complete(Unit)
+            tick.join()
+        }
+    }
+
+    @Test
+    fun `the deputy takes over from a killed owner within 5 s`() {
+        start()
+        val killedMs = nowMs
+        runBlocking {
+            while (!deputy.mayAct()) {
+                nowMs = deputy.nextTickAtMs
+                deputy.tick()
+            }
+        }
+        assertTrue(nowMs - killedMs <= 5_000, "took ${nowMs - killedMs} ms")
+        assertEquals(2, deputy.state.term)
+        assertTrue(gained.last().second.previousEffectsUntilMs <= nowMs)
+        runBlocking { owner.tick() }
+        assertEquals(listOf("a1" to 1L), lost)
+    }
+
+    @Test
+    fun `a planned stop moves ownership to the deputy at once`() {
+        start()
+        runBlocking {
+            val message = checkNotNull(owner.handOver())
+            assertFalse(owner.mayAct())
+            assertEquals(HandOver("a", 2, "b1"), message)
+            deputy.onHandOver(message)
+        }
+        assertTrue(deputy.mayAct())
+        assertEquals("b1" to Gained(2, nowMs + LEASE_MS + CLOCK_DRIFT_MS), gained.last())
+    }
+
+    @Test
+    fun `a hand-over without a reachable deputy opens the data centre`() {
+        reachable.clear()
+        start()
+        runBlocking { assertNull(owner.handOver()) }
+        assertFalse(owner.mayAct())
+        run(6_000, "b1", "c1")
+        assertEquals(1, processes.values.count { it.mayAct() })
+    }
+
+    @Test
+    fun `a hand-over whose answer is lost is settled by a re-read`() {
+        start()
+        table.mode = TableMode.ANSWER_LOST
+        runBlocking { assertNull(owner.handOver()) }
+        table.mode = TableMode.UP
+        run(1_000, "b1")
+        assertTrue(deputy.mayAct())
+    }
+}
--- /dev/null
+++ b/ownership/src/test/kotlin/dev/bronzeshore/ownership/FakeTable.kt
@@ -0,0 +1,67 @@
+/** A small table service for tests: conditional writes with faults, driven directly. */
+package dev.bronzeshore.ownership
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.ResultCode
+import dev.bronzeshore.core.Row
+import dev.bronzeshore.core.TableApi
+import dev.bronzeshore.core.Transaction
+import dev.bronzeshore.core.WriteResult
+
+internal enum class TableMode { UP, DOWN, ANSWER_LOST, UNKNOWN_NOT_APPLIED }
+
+/** Rows in memory; [beforeCall] lets a test hold up a call. */
+internal class FakeTable {
+    val rows = HashMap<String, Row>()
+    var mode = TableMode.UP
+    var beforeCall: suspend () -> Unit = {}
+
+    val api =
+        TableApi(
+            read = { key ->
+                beforeCall()
+                if (mode == TableMode.UP) rows[key].right() else fault(ResultCode.STORE_UNAVAILABLE).left()
+            },
+            readRange = { range ->
+                beforeCall()
+                val found = rows.values.filter { it.key.startsWith(range.prefix) && it.key > range.afterKey }
+                if (mode == TableMode.UP) {
+                    found.sortedBy { it.key }.take(range.limit).right()
+                } else {
+                    fault(ResultCode.STORE_UNAVAILABLE).left()
+                }
+            },
+            write = { transaction ->
+                beforeCall()
+                answer(transaction)
+            },
+        )
+
+    private fun answer(transaction: Transaction): Either<Fault, WriteResult> = when (mode) {
+        TableMode.UP -> apply(transaction).right()
+
+        TableMode.DOWN -> fault(ResultCode.STORE_UNAVAILABLE).left()
+
+        TableMode.ANSWER_LOST -> {
+            apply(transaction)
+            fault(ResultCode.WRITE_UNKNOWN).left()
+        }
+
+        TableMode.UNKNOWN_NOT_APPLIED -> fault(ResultCode.WRITE_UNKNOWN).left()
+    }
+
+    fun apply(transaction: Transaction): WriteResult {
+        val broken = transaction.conditions.find { (rows[it.key]?.version ?: 0) != it.version }
+        if (broken != null) return WriteResult.Conflict(broken.key, rows[broken.key]?.version ?: 0)
+        transaction.puts.forEach {
+            rows[it.key] = Row(it.key, (rows[it.key]?.version ?: 0) + 1, it.value, transaction.writeId)
+        }
+        transaction.deletes.forEach(rows::remove)
+        return WriteResult.Applied
+    }
+}
+
+internal fun fault(code: ResultCode): Fault = Fault(code, code.meaning)
