--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/JobRouter.kt
@@ -0,0 +1,99 @@
+/** Finds the data centre for a job and the owner to ask about it. */
+package dev.bronzeshore.server
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import dev.bronzeshore.core.Allowance
+import dev.bronzeshore.core.Configuration
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.JobRecord
+import dev.bronzeshore.core.JobSubmission
+import dev.bronzeshore.core.JobView
+import dev.bronzeshore.core.Outcome
+import dev.bronzeshore.core.ResultCode
+import dev.bronzeshore.core.TableApi
+import dev.bronzeshore.core.isFinal
+import dev.bronzeshore.jobs.JobRows
+
+private const val SUBMIT_TIMEOUT_MS = 6_000L
+private const val QUERY_TIMEOUT_MS = 2_000L
+
+internal class JobRouter(
+    private val gateway: PeerGateway,
+    private val local: OwnerService,
+    private val table: TableApi,
+    private val configuration: () -> Configuration,
+) {
+    /** Submits to the first data centre that accepts; all attempts name the same job, so at most one takes effect. */
+    suspend fun submit(plan: String, key: String, submission: JobSubmission): Either<Fault, JobRecord> {
+        val candidates = candidatesFor(plan, JobRows.jobId(plan, key), submission)
+        var last = Fault(ResultCode.OVER_ALLOWANCE, "Plan $plan has no allowance in a data centre that is asked for.")
+        for (dataCentre in candidates) {
+            val forward = JobForward(dataCentre, plan, key, submission)
+            gateway.callOwner(dataCentre, PeerCalls.jobSubmit, forward, SUBMIT_TIMEOUT_MS, local::submit)
+                .fold({ last = it }, { return it.right() })
+            if (!mayTryElsewhere(last)) return last.left()
+        }
+        return last.left()
+    }
+
+    private fun candidatesFor(plan: String, jobId: String, submission: JobSubmission): List<String> {
+        val allowed = configuration().allowances.filter { it.plan == plan && it.limit.processorsMillicores > 0 }
+            .map(Allowance::dataCentre).sorted()
+        submission.dataCentre?.let { wanted -> return allowed.filter { it == wanted } }
+        if (allowed.isEmpty()) return allowed
+        val first = Math.floorMod(jobId.hashCode(), allowed.size)
+        return allowed.drop(first) + allowed.take(first)
+    }
+
+    private fun mayTryElsewhere(fault: Fault) =
+        fault.code.outcome == Outcome.NOT_RUN && fault.code in ELSEWHERE || fault.code == ResultCode.PEER_UNAVAILABLE
+
+    /** The job as its row and its owner know it; another plan's job is reported as unknown. */
+    suspend fun view(jobId: String, plan: String?): Either<Fault, JobView> = row(jobId, plan).flatMap { record ->
+        if (record.state.isFinal) {
+            JobView(record).right()
+        } else {
+            val query = JobQuery(record.dataCentre, jobId)
+            val live = gateway.callOwner(record.dataCentre, PeerCalls.jobQuery, query, QUERY_TIMEOUT_MS) { local.status(it) }
+            live.fold({ reread(jobId, record) }, { it }).right()
+        }
+    }
+
+    /** The job may have ended between the two reads; otherwise its data centre is being taken over. */
+    private suspend fun reread(jobId: String, record: JobRecord): JobView {
+        val latest = table.read(JobRows.jobKey(jobId)).getOrNull()?.let { JobRows.parse(it) } ?: record
+        return JobView(latest, if (latest.state.isFinal) null else "its data centre is being taken over")
+    }
+
+    suspend fun cancel(jobId: String, plan: String?): Either<Fault, JobView> = row(jobId, plan).flatMap { record ->
+        if (record.state.isFinal) return JobView(record).right()
+        val query = JobQuery(record.dataCentre, jobId)
+        gateway.callOwner(record.dataCentre, PeerCalls.jobCancel, query, QUERY_TIMEOUT_MS) { local.cancel(it) }
+    }
+
+    /** Open jobs of all data centres that answer. */
+    suspend fun list(plan: String?, limit: Int): List<JobView> = configuration().allowances.map { it.dataCentre }.distinct()
+        .flatMap { dataCentre ->
+            val query = JobListQuery(dataCentre, plan, limit)
+            gateway.callOwner(dataCentre, PeerCalls.jobList, query, QUERY_TIMEOUT_MS) { local.list(it) }
+                .fold({ emptyList() }, { it.jobs })
+        }.take(limit)
+
+    private suspend fun row(jobId: String, plan: String?): Either<Fault, JobRecord> =
+        table.read(JobRows.jobKey(jobId)).flatMap { row ->
+            row?.let { JobRows.parse(it) }?.takeIf { plan == null || it.plan == plan }?.right()
+                ?: Fault(ResultCode.UNKNOWN_JOB, "There is no job $jobId.", "id").left()
+        }
+
+    private companion object {
+        val ELSEWHERE = setOf(
+            ResultCode.FITS_NOWHERE,
+            ResultCode.OVER_ALLOWANCE,
+            ResultCode.NOT_OWNER,
+            ResultCode.STOPPING,
+        )
+    }
+}
