Add slot allotments, slot pool and streaming request proxy

Cause: requests need slots granted per data centre, and a proxy that says exactly how an attempt ended. The proxy uses Ktor's sockets and HTTP parser instead of the Ktor CIO client: tests showed that client 3.5.2 takes a chunked answer that ends between two chunks as whole, and may complete a chunked body whose source failed.

--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/BodyFraming.kt
@@ -0,0 +1,90 @@
+/** Framing of HTTP/1.1 bodies, which tells a whole body from one that broke off. */
+package dev.bronzeshore.requests
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.readLineStrict
+import io.ktor.utils.io.writeFully
+import java.io.EOFException
+import java.io.IOException
+
+internal const val COPY_BUFFER_BYTES: Int = 16_384
+
+private const val MAX_LINE_BYTES = 8_192L
+private const val HEX = 16
+private val CRLF = byteArrayOf('\r'.code.toByte(), '\n'.code.toByte())
+
+/** How the end of a body is found. */
+internal sealed interface Framing {
+    data object None : Framing
+
+    data object Chunked : Framing
+
+    data class Length(val bytes: Long) : Framing
+
+    /** The body ends with the connection; a truncation cannot be told from the end. */
+    data object UntilClose : Framing
+}
+
+/** Reads up to [most] bytes; a channel that was closed because of a failure throws instead of ending. */
+internal suspend fun ByteReadChannel.readOrFail(buffer: ByteArray, most: Int): Int {
+    val count = readAvailable(buffer, 0, most)
+    if (count < 0) closedCause?.let { throw IOException("the connection failed: $it", it) }
+    return count
+}
+
+/** Reads a body piece by piece; throws [IOException] if it ends before its framing says so. */
+internal class BodyReader(private val source: ByteReadChannel, private val framing: Framing) {
+    /** Bytes left of the body or of the current chunk. */
+    private var left = if (framing is Framing.Length) framing.bytes else 0L
+    private var ended = framing == Framing.None
+    private var firstChunk = true
+
+    /** Returns the number of bytes read into [buffer], or -1 after the last one. */
+    suspend fun read(buffer: ByteArray): Int {
+        if (framing == Framing.Chunked && left == 0L && !ended) nextChunk()
+        if (framing is Framing.Length && left == 0L) ended = true
+        if (ended) return -1
+        if (framing == Framing.UntilClose) return source.readOrFail(buffer, buffer.size)
+        val count = source.readOrFail(buffer, minOf(buffer.size.toLong(), left).toInt())
+        if (count < 0) throw EOFException("the connection ended $left bytes before the end of the body or chunk")
+        left -= count
+        return count
+    }
+
+    /** True if the next read may have to wait. */
+    val mayWait: Boolean get() = source.availableForRead == 0
+
+    private suspend fun nextChunk() {
+        if (!firstChunk && line().isNotEmpty()) throw IOException("a chunk is longer than its size says")
+        firstChunk = false
+        val size = line().substringBefore(';').trim()
+        left = size.toLongOrNull(HEX)?.takeIf { it >= 0 } ?: throw IOException("the chunk size '$size' is malformed")
+        if (left > 0) return
+        // Trailers are hop-by-hop here and are dropped.
+        while (line().isNotEmpty()) Unit
+        ended = true
+    }
+
+    private suspend fun line(): String =
+        source.readLineStrict(MAX_LINE_BYTES) ?: throw EOFException("the connection ended within a chunked body")
+}
+
+/** Writes a body; without a call of [finish] the other side does not take it as whole. */
+internal class BodyWriter(private val sink: ByteWriteChannel, private val chunked: Boolean) {
+    suspend fun write(buffer: ByteArray, count: Int) {
+        if (count == 0) return
+        if (chunked) sink.writeFully("${count.toString(HEX)}\r\n".toByteArray())
+        sink.writeFully(buffer, 0, count)
+        if (chunked) sink.writeFully(CRLF)
+    }
+
+    suspend fun flush(): Unit = sink.flush()
+
+    suspend fun finish() {
+        if (chunked) sink.writeFully("0\r\n\r\n".toByteArray())
+        sink.flush()
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/HeldSlots.kt
@@ -0,0 +1,22 @@
+/** Slots of one endpoint that this process holds for one plan. */
+package dev.bronzeshore.requests
+
+/** An allotment together with the requests in flight; kept while either is left. */
+internal class HeldSlots(val key: SlotKey, val dataCentre: String, val address: String, val lane: Lane) {
+    var slots: Int = 0
+    var untilMs: Long = Long.MIN_VALUE
+    var inUse: Int = 0
+
+    /** Position in the lane's list of candidates, or -1. */
+    var position: Int = -1
+
+    fun isFree(nowMs: Long): Boolean = inUse < slots && nowMs < untilMs
+}
+
+/** A slot in use by one request, until it is given back to the pool. */
+public class SlotLease internal constructor(internal val held: HeldSlots, internal val takenAtMs: Long) {
+    internal var released: Boolean = false
+
+    public val endpointId: String get() = held.key.endpointId
+    public val address: String get() = held.address
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/LatencyTracker.kt
@@ -0,0 +1,59 @@
+/** Observed latency of endpoints. */
+package dev.bronzeshore.requests
+
+import dev.bronzeshore.core.ClockMs
+import kotlin.math.exp
+
+/**
+ * Exponentially weighted latency per endpoint. Control state: not thread-safe.
+ *
+ * An estimate that is not refreshed drifts to the mean of all endpoints, so that an endpoint that was slow once is
+ * tried again.
+ */
+public class LatencyTracker(private val clock: ClockMs) {
+    private class Estimate(var latencyMs: Double, var observedAtMs: Long, var avoidUntilMs: Long)
+
+    private val estimates = HashMap<String, Estimate>()
+    private var meanMs = INITIAL_MS
+
+    /** Records how long an endpoint took to answer. */
+    public fun answered(endpointId: String, latencyMs: Long) {
+        val observedMs = maxOf(1.0, latencyMs.toDouble())
+        val estimate = estimates.getOrPut(endpointId) { Estimate(observedMs, clock(), Long.MIN_VALUE) }
+        estimate.latencyMs += WEIGHT * (observedMs - estimate.latencyMs)
+        estimate.observedAtMs = clock()
+        estimate.avoidUntilMs = Long.MIN_VALUE
+        meanMs += MEAN_WEIGHT * (observedMs - meanMs)
+    }
+
+    /** Records that an endpoint could not be reached; others are preferred for a while. */
+    public fun failed(endpointId: String) {
+        val estimate = estimates.getOrPut(endpointId) { Estimate(meanMs, clock(), Long.MIN_VALUE) }
+        estimate.avoidUntilMs = clock() + AVOID_MS
+    }
+
+    /** Expected latency in milliseconds. */
+    public fun expectedMs(endpointId: String): Double {
+        val estimate = estimates[endpointId] ?: return meanMs
+        val nowMs = clock()
+        if (nowMs < estimate.avoidUntilMs) return FAILED_MS
+        val ageMs = maxOf(0L, nowMs - estimate.observedAtMs)
+        return meanMs + (estimate.latencyMs - meanMs) * exp(-ageMs / FORGET_MS)
+    }
+
+    /** Forgets endpoints that are gone. */
+    public fun retain(endpointIds: Set<String>) {
+        estimates.keys.retainAll(endpointIds)
+    }
+
+    private companion object {
+        const val INITIAL_MS = 10.0
+        const val WEIGHT = 0.2
+        const val MEAN_WEIGHT = 0.05
+        const val FORGET_MS = 10_000.0
+
+        /** Longer than any answer, so that an unreachable endpoint is chosen only if there is no other. */
+        const val FAILED_MS = 1e9
+        const val AVOID_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/ReplayableBody.kt
@@ -0,0 +1,54 @@
+/** The body of a caller's request, as far as possible kept for another attempt. */
+package dev.bronzeshore.requests
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.availableForRead
+import java.io.ByteArrayOutputStream
+import java.io.EOFException
+import java.io.IOException
+
+/** Bodies up to this size can be sent again; larger ones would let memory use grow with the traffic. */
+internal const val REPLAY_LIMIT_BYTES: Int = 65_536
+
+/** Thrown when the caller's side of an exchange failed, as opposed to the endpoint's. */
+internal class CallerGoneException(cause: Throwable) : Exception("the caller's connection failed: $cause", cause)
+
+/** Streams [source] to endpoints; with [keep], what was read is kept up to [REPLAY_LIMIT_BYTES]. */
+internal class ReplayableBody(private val source: ByteReadChannel, private val length: Long?, keep: Boolean) {
+    private var kept: ByteArrayOutputStream? = if (keep) ByteArrayOutputStream() else null
+    private var readBytes = 0L
+
+    /** True if another attempt can send the whole body. */
+    val isReplayable: Boolean get() = readBytes == 0L || kept != null
+
+    suspend fun writeTo(sink: BodyWriter) {
+        kept?.let { sink.write(it.toByteArray(), it.size()) }
+        val buffer = if (length == 0L) return else ByteArray(COPY_BUFFER_BYTES)
+        while (length == null || readBytes < length) {
+            val count = readSource(buffer)
+            if (count < 0) break
+            readBytes += count
+            keep(buffer, count)
+            sink.write(buffer, count)
+            if (source.availableForRead == 0) sink.flush()
+        }
+        sink.finish()
+    }
+
+    private suspend fun readSource(buffer: ByteArray): Int {
+        val most = if (length == null) buffer.size else minOf(buffer.size.toLong(), length - readBytes).toInt()
+        val count =
+            try {
+                source.readOrFail(buffer, most)
+            } catch (failure: IOException) {
+                throw CallerGoneException(failure)
+            }
+        if (count < 0 && length != null) throw CallerGoneException(EOFException("the body is too short"))
+        return count
+    }
+
+    private fun keep(buffer: ByteArray, count: Int) {
+        val target = kept ?: return
+        if (target.size() + count > REPLAY_LIMIT_BYTES) kept = null else target.write(buffer, 0, count)
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RequestHeaders.kt
@@ -0,0 +1,32 @@
+/** Headers that end at this hop. */
+package dev.bronzeshore.requests
+
+/** Headers that concern one connection only, by RFC 9110 section 7.6.1. */
+private val HOP_BY_HOP =
+    setOf(
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+
+/** Set by the client for the endpoint's connection: the length is passed on beside the headers. */
+private val SET_BY_CLIENT = setOf("content-length", "host", "expect")
+
+/** Headers that are passed on: neither hop-by-hop ones nor those that `Connection` names. */
+internal fun List<HeaderLine>.endToEnd(): List<HeaderLine> {
+    val named =
+        filter { it.name.equals("Connection", ignoreCase = true) }
+            .flatMap { it.value.split(',') }
+            .map { it.trim().lowercase() }
+            .toSet()
+    return filter { line ->
+        val name = line.name.lowercase()
+        name !in HOP_BY_HOP && name !in SET_BY_CLIENT && name !in named
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RequestProxy.kt
@@ -0,0 +1,150 @@
+/** Streams requests to endpoints and their answers back. */
+package dev.bronzeshore.requests
+
+import dev.bronzeshore.core.ClockMs
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import java.io.IOException
+
+/**
+ * Runs one exchange at a time over a connection of its own. Thread-safe.
+ *
+ * It uses Ktor's sockets and parser but not its CIO client: that client takes a chunked answer that breaks off between
+ * two chunks as whole, and may complete a chunked body whose source failed. Bodies pass through a small buffer.
+ * Cancelling the caller's coroutine closes the endpoint's connection.
+ */
+public class RequestProxy(traffic: CoroutineDispatcher, private val clock: ClockMs) : AutoCloseable {
+    private val selector = SelectorManager(traffic)
+
+    override fun close(): Unit = selector.close()
+
+    internal suspend fun attempt(
+        address: String,
+        request: IncomingRequest,
+        body: ReplayableBody,
+        responder: Responder,
+    ): AttemptEnd {
+        val socket =
+            try {
+                connect(address)
+            } catch (failure: Exception) {
+                currentCoroutineContext().ensureActive()
+                return AttemptEnd.NotSent(failure.toString())
+            }
+        return Exchange(EndpointConnection(socket), address, request, body, responder).run()
+    }
+
+    private suspend fun connect(address: String): Socket {
+        val target = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+        return withTimeout(CONNECT_TIMEOUT_MS) { aSocket(selector).tcp().connect(target) { noDelay = true } }
+    }
+
+    private inner class Exchange(
+        private val connection: EndpointConnection,
+        private val address: String,
+        private val request: IncomingRequest,
+        private val body: ReplayableBody,
+        private val responder: Responder,
+    ) {
+        private var begun = false
+        private var firstByteAtMs = 0L
+
+        @Volatile private var callerFailure: CallerGoneException? = null
+
+        suspend fun run(): AttemptEnd = try {
+            connection.use {
+                connection.sendHead(address, request)
+                coroutineScope {
+                    val sending = launch { send() }
+                    val status = receive()
+                    // An endpoint may answer without reading the whole body.
+                    sending.cancel()
+                    AttemptEnd.Answered(status, firstByteAtMs)
+                }
+            }
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            endOf(failure)
+        }
+
+        private fun endOf(failure: Exception): AttemptEnd {
+            val caller = callerFailure ?: failure as? CallerGoneException
+            return when {
+                caller != null -> AttemptEnd.CallerGone(caller.message.orEmpty())
+                begun -> AttemptEnd.AnswerBroken(failure.toString())
+                else -> AttemptEnd.Unanswered(failure.toString())
+            }
+        }
+
+        private suspend fun send() {
+            try {
+                connection.sendBody(request, body)
+            } catch (failure: CallerGoneException) {
+                callerFailure = failure
+                connection.close()
+            } catch (failure: IOException) {
+                // The endpoint may have answered before it closed; if not, receiving fails too.
+                currentCoroutineContext().ensureActive()
+            }
+        }
+
+        private suspend fun receive(): Int {
+            val head = connection.receiveHead(request.method)
+            firstByteAtMs = clock()
+            begun = true
+            var broken: IOException? = null
+            try {
+                responder(head.toAnswerHead()) { sink ->
+                    try {
+                        passOn(connection.reader(head), sink)
+                    } catch (failure: EndpointFailure) {
+                        broken = failure
+                        throw failure
+                    }
+                }
+            } catch (failure: Exception) {
+                currentCoroutineContext().ensureActive()
+                throw broken ?: CallerGoneException(failure)
+            }
+            return head.status
+        }
+
+        private suspend fun passOn(reader: BodyReader, sink: ByteWriteChannel) {
+            val buffer = ByteArray(COPY_BUFFER_BYTES)
+            while (true) {
+                val count = readAnswer(reader, buffer)
+                if (count < 0) break
+                sink.writeFully(buffer, 0, count)
+                if (reader.mayWait) sink.flush()
+            }
+            sink.flush()
+        }
+
+        private suspend fun readAnswer(reader: BodyReader, buffer: ByteArray): Int = try {
+            reader.read(buffer)
+        } catch (failure: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            throw EndpointFailure(failure)
+        } catch (failure: Exception) {
+            throw EndpointFailure(failure)
+        }
+    }
+
+    /** Marks failures of the endpoint's connection while the answer is passed on. */
+    private class EndpointFailure(cause: Exception) : IOException(cause.toString(), cause)
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPlacer.kt
@@ -0,0 +1,49 @@
+/** Chooses the endpoints at which a process gets its share. */
+package dev.bronzeshore.requests
+
+/** Places shares of one [holder] on the [endpoints] of one service and adds them to [usage]. */
+internal class SlotPlacer(
+    private val endpoints: List<EndpointSlots>,
+    private val holder: SlotHolder,
+    private val usage: SlotUsage,
+) {
+    private val counted = holder.counted()
+
+    /** Returns the slots of [plan] by endpoint: at most [target] in all, and never more than [allowed] permits. */
+    fun place(plan: String, target: Int, allowed: Int): Map<SlotKey, Int> {
+        val slots = LinkedHashMap<SlotKey, Int>()
+        for (endpoint in endpoints) {
+            val key = SlotKey(endpoint.id, plan)
+            // An endpoint whose number of slots was lowered must shed the excess.
+            val excess = maxOf(0, usage.at(endpoint.id) - endpoint.slots)
+            slots[key] = maxOf(0, (counted[key] ?: 0) - excess)
+        }
+        shrink(slots, target)
+        grow(slots, target, allowed)
+        slots.values.removeAll { it <= 0 }
+        return slots
+    }
+
+    /** Takes slots away where the process has the most unused ones. */
+    private fun shrink(slots: MutableMap<SlotKey, Int>, target: Int) {
+        var surplus = slots.values.sum() - target
+        while (surplus > 0) {
+            val key = slots.keys.filter { slots.getValue(it) > 0 }.maxBy { slots.getValue(it) - holder.inUse(it) }
+            slots.merge(key, -1, Int::plus)
+            surplus--
+        }
+    }
+
+    /** Adds slots at the endpoints with the most room. */
+    private fun grow(slots: MutableMap<SlotKey, Int>, target: Int, allowed: Int) {
+        var missing = target - slots.values.sum()
+        while (missing > 0) {
+            val endpoint = endpoints.maxByOrNull { it.slots - usage.at(it.id) } ?: return
+            val key = SlotKey(endpoint.id, slots.keys.first().plan)
+            if (usage.at(endpoint.id) >= endpoint.slots || usage.of(key.plan) >= allowed) return
+            slots.merge(key, 1, Int::plus)
+            usage.add(key, 1)
+            missing--
+        }
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPool.kt
@@ -0,0 +1,127 @@
+/** Slots that this process holds. */
+package dev.bronzeshore.requests
+
+import dev.bronzeshore.core.ClockMs
+import kotlin.random.Random
+
+/**
+ * Hands out the slots that the owners granted. Control state: not thread-safe.
+ *
+ * A slot is handed out only before its deadline and while fewer requests are in flight at the endpoint for the plan
+ * than slots are granted; requests that started under an earlier grant count.
+ */
+public class SlotPool(private val clock: ClockMs, private val latency: LatencyTracker, random: Random) {
+    private val held = LinkedHashMap<SlotKey, HeldSlots>()
+    private val lanes = LinkedHashMap<LaneKey, Lane>()
+    private val inUseAt = HashMap<String, Int>()
+    private val leaving = HashSet<String>()
+    private val grantIds = HashMap<String, Long>()
+    private val chooser = SlotChooser(random, latency::expectedMs) { inUseAt[it] ?: 0 }
+    private var lastSequence = 0L
+
+    /**
+     * Puts an owner's answer in force unless a later one is already.
+     *
+     * Returns true if slots were taken away, in which case the next request to the owner should follow at once: its
+     * confirmation lets the owner grant them to others.
+     */
+    public fun apply(dataCentre: String, allotments: Allotments): Boolean {
+        if (allotments.grantId <= (grantIds[dataCentre] ?: 0L)) return false
+        grantIds[dataCentre] = allotments.grantId
+        val granted = allotments.list.associateBy { SlotKey(it.endpointId, it.plan) }
+        val nowMs = clock()
+        var shrunk = false
+        for (entry in held.values.filter { it.dataCentre == dataCentre }) {
+            val slots = granted[entry.key]?.slots ?: 0
+            if (slots < entry.slots) shrunk = true
+            entry.slots = slots
+            updateEntry(entry, nowMs)
+        }
+        for ((key, allotment) in granted) {
+            val entry = entryOf(key, dataCentre, allotment)
+            entry.slots = allotment.slots
+            entry.untilMs = allotment.untilMs
+            updateEntry(entry, nowMs)
+        }
+        return shrunk
+    }
+
+    /** Takes a slot for a request of [plan] to [service], or returns null if none is free. */
+    public fun take(service: String, plan: String): SlotLease? {
+        val lane = lanes[LaneKey(service, plan)] ?: return null
+        val nowMs = clock()
+        while (lane.candidates.isNotEmpty()) {
+            val entry = chooser.choose(lane.candidates)
+            val free = entry.isFree(nowMs)
+            if (free) changeInUse(entry, 1)
+            lane.update(entry, nowMs)
+            if (free) return SlotLease(entry, nowMs)
+        }
+        return null
+    }
+
+    /** Gives a slot back once its request has ended; a second call has no effect. */
+    public fun release(lease: SlotLease) {
+        if (lease.released) return
+        lease.released = true
+        changeInUse(lease.held, -1)
+        updateEntry(lease.held, clock())
+    }
+
+    /** Slots that are free for a plan's requests to a service. */
+    public fun freeSlots(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.freeSlots(clock()) ?: 0
+
+    /** Requests of a plan in flight at a service's endpoints. */
+    public fun inUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.inUse ?: 0
+
+    /** Most requests in flight at a time since the last call. */
+    public fun takePeakInUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.takePeak() ?: 0
+
+    /** Replaces the endpoints that get no new request, whatever was granted. */
+    public fun setLeaving(endpointIds: Set<String>) {
+        leaving.clear()
+        leaving += endpointIds
+        held.values.toList().forEach { updateEntry(it, clock()) }
+    }
+
+    /** The request that asks a data centre's owner for slots. */
+    public fun request(dataCentre: String, processId: String, demand: List<SlotDemand>): AllotmentRequest {
+        // Follows the clock so that a restarted process continues above the numbers it used before.
+        lastSequence = maxOf(lastSequence + 1, clock())
+        val inUse =
+            held.values
+                .filter { it.dataCentre == dataCentre && it.inUse > 0 }
+                .map { SlotsInUse(it.key.endpointId, it.key.plan, it.inUse) }
+        val applied = grantIds[dataCentre] ?: 0L
+        return AllotmentRequest(dataCentre, processId, demand, inUse, lastSequence, applied)
+    }
+
+    private fun entryOf(key: SlotKey, dataCentre: String, allotment: SlotAllotment): HeldSlots {
+        val current = held[key]
+        val lane = lanes.getOrPut(LaneKey(allotment.service, key.plan)) { Lane(LaneKey(allotment.service, key.plan)) }
+        if (current != null && current.address == allotment.address && current.lane === lane) return current
+        if (current != null) retire(current)
+        val entry = HeldSlots(key, dataCentre, allotment.address, lane)
+        held[key] = entry
+        return entry
+    }
+
+    /** Takes out an entry whose endpoint was replaced under the same id. */
+    private fun retire(entry: HeldSlots) {
+        entry.slots = 0
+        entry.lane.update(entry, clock())
+    }
+
+    private fun updateEntry(entry: HeldSlots, nowMs: Long) {
+        if (entry.key.endpointId in leaving) entry.slots = 0
+        entry.lane.update(entry, nowMs)
+        if (entry.slots == 0 && entry.inUse == 0) held.remove(entry.key, entry)
+    }
+
+    private fun changeInUse(entry: HeldSlots, change: Int) {
+        entry.inUse += change
+        entry.lane.changeInUse(change)
+        val atEndpoint = (inUseAt[entry.key.endpointId] ?: 0) + change
+        if (atEndpoint == 0) inUseAt.remove(entry.key.endpointId) else inUseAt[entry.key.endpointId] = atEndpoint
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/SlotUsage.kt
@@ -0,0 +1,21 @@
+/** Sums of the slots that processes may have in use. */
+package dev.bronzeshore.requests
+
+/** Counted slots per endpoint and per plan. */
+internal class SlotUsage(holders: Collection<SlotHolder>) {
+    private val byEndpoint = HashMap<String, Int>()
+    private val byPlan = HashMap<String, Int>()
+
+    init {
+        holders.forEach { holder -> holder.counted().forEach { (key, slots) -> add(key, slots) } }
+    }
+
+    fun at(endpointId: String): Int = byEndpoint[endpointId] ?: 0
+
+    fun of(plan: String): Int = byPlan[plan] ?: 0
+
+    fun add(key: SlotKey, slots: Int) {
+        byEndpoint.merge(key.endpointId, slots, Int::plus)
+        byPlan.merge(key.plan, slots, Int::plus)
+    }
+}
