--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobTracker.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobTracker.kt
@@ -100,15 +100,20 @@
             part.state = PartState.RUNNING
             part.startedAtMs = status.startedAtMs
             job.record = job.record.copy(state = JobState.RUNNING)
-            context.listeners.onPartStarted(job.kind.name, status.startedAtMs - job.record.acceptedAtMs)
+            reportStart(job, part, status)
         }
         placer.reportUsage(job.jobId, part.index, part.workerId, status.used)
         if (job.isCancelled) outputs.order(part.workerId, TaskOrder(status.task, TaskAction.STOP))
     }
 
+    private fun reportStart(job: TrackedJob, part: TrackedPart, status: TaskStatus) {
+        val waitMs = status.startedAtMs - job.record.acceptedAtMs
+        context.listeners.onPartStarted(part.workerId, job.kind.name, waitMs)
+    }
+
     private fun succeed(job: TrackedJob, part: TrackedPart, status: TaskStatus) {
         if (part.state == PartState.STARTING) {
-            context.listeners.onPartStarted(job.kind.name, status.startedAtMs - job.record.acceptedAtMs)
+            reportStart(job, part, status)
         }
         part.result = PartResult(part.index, part.workerId, status.startedAtMs, status.output)
         part.state = PartState.ENDED
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/AllotmentLoop.kt
@@ -0,0 +1,27 @@
+/** Keeps this process supplied with endpoint slots from the owners of all data centres. */
+package dev.bronzeshore.server
+
+import dev.bronzeshore.core.PartLog
+import dev.bronzeshore.requests.RequestRouter
+
+private const val ALLOTMENT_TIMEOUT_MS = 800L
+
+internal class AllotmentLoop(
+    private val gateway: PeerGateway,
+    private val local: OwnerService,
+    private val router: RequestRouter,
+    private val dataCentres: DataCentres,
+    private val processId: String,
+) {
+    private val log = PartLog("requests")
+
+    /** Asks one owner; without an answer the slots held so far run out at their deadline. */
+    suspend fun refresh(dataCentre: String) {
+        val request = router.allotmentRequest(dataCentre, processId)
+        gateway.callOwner(dataCentre, PeerCalls.allotments, request, ALLOTMENT_TIMEOUT_MS) { local.allot(it) }
+            .fold({ log.debug { "No slots from $dataCentre: ${it.message}" } }, { router.applyAllotments(dataCentre, it) })
+    }
+
+    /** Names of the data centres to ask. */
+    fun targets(): List<String> = dataCentres.all.map { it.dataCentre }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
@@ -0,0 +1,250 @@
+/** One running process: builds all parts, connects them and drives their periodic work. */
+package dev.bronzeshore.server
+
+import arrow.core.right
+import dev.bronzeshore.audit.AuditPruner
+import dev.bronzeshore.audit.AuditReader
+import dev.bronzeshore.audit.AuditRetention
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.Configuration
+import dev.bronzeshore.core.OwnedDataCentre
+import dev.bronzeshore.core.PartLog
+import dev.bronzeshore.core.ProcessStatus
+import dev.bronzeshore.core.WorkKind
+import dev.bronzeshore.jobs.JobListeners
+import dev.bronzeshore.ownership.Member
+import dev.bronzeshore.ownership.MemberDirectory
+import dev.bronzeshore.ownership.PROCESS_ROW_EVERY_MS
+import dev.bronzeshore.peering.PeerClient
+import dev.bronzeshore.peering.PeerServer
+import dev.bronzeshore.peering.handlerOf
+import dev.bronzeshore.plans.ConfigurationHolder
+import dev.bronzeshore.plans.ConfigurationRefresher
+import dev.bronzeshore.plans.ConfigurationWriter
+import dev.bronzeshore.platform.createPlatformClient
+import dev.bronzeshore.platform.createTableApi
+import dev.bronzeshore.platform.createVmListApi
+import dev.bronzeshore.platform.createWorkerApi
+import dev.bronzeshore.requests.RequestProxy
+import dev.bronzeshore.requests.RequestRouter
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.util.UUID
+
+private const val CONFIGURATION_EVERY_MS = 1_000L
+private const val MEMBERS_EVERY_MS = 1_000L
+private const val VMS_EVERY_MS = 1_000L
+private const val ALLOTMENTS_EVERY_MS = 500L
+private const val PRUNE_EVERY_MS = 3_600_000L
+private const val PEER_TIMEOUT_MS = 800L
+private const val MS_PER_DAY = 86_400_000L
+
+/**
+ * [control] is a single thread that holds all control state; [onFatal] is called when an invariant fails, since a
+ * process with broken state must not go on handing out work.
+ */
+internal class BronzeshoreProcess(
+    private val settings: Settings,
+    private val clock: ClockMs,
+    private val control: CoroutineDispatcher,
+    private val onFatal: (Throwable) -> Unit,
+) {
+    private val log = PartLog("server")
+    private val fatalHandler = CoroutineExceptionHandler { _, failure -> onFatal(failure) }
+    private val controlScope = CoroutineScope(control + SupervisorJob() + fatalHandler)
+    private val trafficScope = CoroutineScope(Dispatchers.IO + SupervisorJob())
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val platformClient = createPlatformClient()
+    private val table = createTableApi(platformClient, settings.platform.tableUrl)
+    private val self = Member(
+        // Unique per start: a restarted process does not remember the promises that it made.
+        processId = "${settings.processId}-${UUID.randomUUID().toString().take(START_ID_CHARACTERS)}",
+        dataCentre = settings.dataCentre,
+        region = settings.region,
+        address = "${settings.peers.host}:${settings.peers.port}",
+    )
+    private val directory = MemberDirectory(self, clock, table)
+    private val configuration = ConfigurationHolder()
+    private val tokens = TokenTable()
+    val readiness = Readiness()
+    private val metrics = ProcessMetrics()
+    private val peerClient = PeerClient(selector, clock, trafficScope)
+    private val gateway = PeerGateway(self, clock, peerClient, { directory.members }) { dataCentres.ownerIdOf(it) }
+    private var attempts = 0L
+    private val fleet = Fleet(clock, createVmListApi(platformClient, settings.platform.vmListUrl))
+    private val dataCentres: DataCentres = DataCentres(supervisorContext())
+    private val ownerService = OwnerService(dataCentres)
+    private val jobRouter = JobRouter(gateway, ownerService, table) { configuration.current }
+    private val proxy = RequestProxy(Dispatchers.IO, clock)
+    private val requestRouter = RequestRouter(control, clock, proxy)
+    private val allotmentLoop =
+        AllotmentLoop(gateway, ownerService, requestRouter, dataCentres, self.processId)
+    private val refresher = ConfigurationRefresher(table, configuration)
+    private val writer =
+        ConfigurationWriter(table, clock, ::newWriteId, onAccepted = ::publishConfiguration)
+    private val httpPorts = HttpPorts(settings, callerContext(), operatorContext())
+
+    private fun supervisorContext() = SupervisorContext(
+        self = self,
+        clock = clock,
+        table = table,
+        workerApi = createWorkerApi(platformClient),
+        controlScope = controlScope,
+        members = { directory.members },
+        isGone = { fleet.isGone(it) },
+        callDeputy = { member, request -> gateway.call(member, PeerCalls.promise, request, PEER_TIMEOUT_MS) },
+        kindOf = ::kindOf,
+        listeners = JobListeners(
+            onPartFailed = { workerId, jobId ->
+                fleet.partFailed(workerId, jobId)
+                metrics.countPartFailure(workerId)
+            },
+            onPartSucceeded = { workerId, jobId -> fleet.partSucceeded(workerId, jobId) },
+            onPartStarted = { workerId, kind, waitMs ->
+                fleet.partStarted(workerId)
+                metrics.observeWait(kind, waitMs)
+            },
+            onPreemption = { _, _, _ -> metrics.countPreemption() },
+        ),
+        nextAttempt = { attempts++ },
+    )
+
+    private fun callerContext() =
+        CallerContext(clock, control, tokens, jobRouter, requestRouter, metrics, readiness)
+
+    private fun operatorContext() = OperatorContext(
+        clock = clock,
+        control = control,
+        tokenSha256 = settings.operatorTokenSha256,
+        configuration = { configuration.current },
+        writer = writer,
+        audit = AuditReader(table),
+        jobs = jobRouter,
+        vms = { fleet.status() },
+        status = ::status,
+        metrics = metrics,
+    )
+
+    private fun kindOf(plan: String, kind: String): WorkKind? =
+        configuration.current.plans.find { it.name == plan }?.kinds?.find { it.name == kind }
+
+    /** Listens on all ports and starts the periodic work. */
+    suspend fun start() {
+        withContext(control) { configuration.listen(::onConfiguration) }
+        PeerServer(selector, clock, peerHandlers()).start(settings.peers.host, settings.peers.port, trafficScope)
+        httpPorts.start()
+        startLoops()
+        log.info { "Process ${self.processId} listens for callers on port ${settings.callers.port}." }
+    }
+
+    private fun startLoops() {
+        controlScope.repeatEvery(PROCESS_ROW_EVERY_MS) { if (!readiness.isStopping) directory.announce() }
+        controlScope.repeatEvery(MEMBERS_EVERY_MS) { directory.refresh() }
+        controlScope.repeatEvery(CONFIGURATION_EVERY_MS) { refreshConfiguration() }
+        controlScope.repeatEvery(VMS_EVERY_MS) { refreshFleet() }
+        controlScope.repeatEvery(ALLOTMENTS_EVERY_MS) {
+            allotmentLoop.targets().forEach { controlScope.launch { allotmentLoop.refresh(it) } }
+        }
+        val retention = AuditRetention(settings.auditRetentionDays * MS_PER_DAY)
+        controlScope.repeatEvery(PRUNE_EVERY_MS) { AuditPruner(table, clock, retention, ::newWriteId).prune() }
+    }
+
+    /** Takes the configuration from the table service, or from a peer while the table is down. */
+    private suspend fun refreshConfiguration() {
+        val fromTable = refresher.refresh()
+        if (fromTable.isRight() || configuration.isKnown) return
+        gateway.peers.firstNotNullOfOrNull { peer ->
+            gateway.call(peer, PeerCalls.configurationPull, Acknowledged(), PEER_TIMEOUT_MS).getOrNull()
+        }?.let(configuration::offer)
+    }
+
+    private suspend fun refreshFleet() {
+        fleet.refresh()
+        applyFleet()
+    }
+
+    private fun applyFleet() {
+        dataCentres.update(viewsByDataCentre(fleet.vms(), configuration.current, fleet::isQuarantined))
+        requestRouter.setLeaving(fleet.leavingEndpoints())
+    }
+
+    private fun onConfiguration(current: Configuration) {
+        tokens.replace(current)
+        fleet.setMarks(current.marks)
+        requestRouter.setWeights(current)
+        applyFleet()
+        readiness.isConfigured = true
+    }
+
+    private fun publishConfiguration(accepted: Configuration) {
+        configuration.offer(accepted)
+        gateway.peers.forEach { peer ->
+            controlScope.launch { gateway.call(peer, PeerCalls.configurationPush, accepted, PEER_TIMEOUT_MS) }
+        }
+    }
+
+    private fun peerHandlers() = listOf(
+        handlerOf(PeerCalls.promise) { withContext(control) { ownerService.promise(it) } },
+        handlerOf(PeerCalls.handOver) { withContext(control) { ownerService.handOver(it) } },
+        handlerOf(PeerCalls.allotments) { withContext(control) { ownerService.allot(it) } },
+        handlerOf(PeerCalls.jobSubmit) { withContext(control) { ownerService.submit(it) } },
+        handlerOf(PeerCalls.jobQuery) { withContext(control) { ownerService.status(it) } },
+        handlerOf(PeerCalls.jobCancel) { withContext(control) { ownerService.cancel(it) } },
+        handlerOf(PeerCalls.jobList) { withContext(control) { ownerService.list(it) } },
+        handlerOf(PeerCalls.configurationPull) { withContext(control) { configuration.current.right() } },
+        handlerOf(PeerCalls.configurationPush) { pushed ->
+            withContext(control) {
+                configuration.offer(pushed)
+                configuration.current.version.right()
+            }
+        },
+    )
+
+    private fun status() = ProcessStatus(
+        processId = self.processId,
+        dataCentre = self.dataCentre,
+        configurationVersion = configuration.current.version,
+        owned = dataCentres.all.filter { it.ownership.mayAct() }
+            .map { OwnedDataCentre(it.dataCentre, it.ownership.state.term, it.ownership.actUntilMs) },
+        members = directory.members.map { it.processId },
+        ready = readiness.isReady,
+    )
+
+    /** Stops without interrupting anything: no new work, ownership handed over, requests in flight finished. */
+    suspend fun stop(deadlineMs: Long) {
+        readiness.isStopping = true
+        log.info { "Stopping; waiting for requests in flight." }
+        withContext(control) {
+            directory.withdraw()
+            dataCentres.all.forEach { supervisor ->
+                supervisor.ownership.handOver()?.let { notifyNextOwner(it) }
+            }
+        }
+        httpPorts.awaitBalancer()
+        requestRouter.awaitInFlight(deadlineMs)
+        httpPorts.stop()
+        controlScope.cancel()
+        trafficScope.cancel()
+        proxy.close()
+        platformClient.close()
+        log.info { "Stopped." }
+    }
+
+    private fun newWriteId() = UUID.randomUUID().toString()
+
+    private suspend fun notifyNextOwner(message: dev.bronzeshore.ownership.HandOver) {
+        val next = directory.members.find { it.processId == message.nextOwnerId } ?: return
+        gateway.call(next, PeerCalls.handOver, message, PEER_TIMEOUT_MS)
+    }
+
+    private companion object {
+        const val START_ID_CHARACTERS = 8
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/ClusterView.kt
@@ -0,0 +1,23 @@
+/** Turns the VM list, the marks and the configuration into one view for each data centre. */
+package dev.bronzeshore.server
+
+import dev.bronzeshore.core.Configuration
+import dev.bronzeshore.core.Vm
+import dev.bronzeshore.core.VmRole
+import dev.bronzeshore.core.VmState
+import dev.bronzeshore.jobs.WorkerCandidate
+
+/** [vms] are already merged with the marks; [isQuarantined] holds workers back that fail what they start. */
+internal fun viewsByDataCentre(
+    vms: List<Vm>,
+    configuration: Configuration,
+    isQuarantined: (workerId: String) -> Boolean,
+): Map<String, DataCentreView> = vms.groupBy { it.dataCentre }.mapValues { (dataCentre, members) ->
+    val (workers, endpoints) = members.partition { it.role == VmRole.WORKER }
+    DataCentreView(
+        workers = workers.map { WorkerCandidate(it, it.state == VmState.LIVE && !isQuarantined(it.id)) },
+        endpoints = endpoints,
+        leavingEndpoints = endpoints.filter { it.state == VmState.LEAVING }.mapTo(HashSet()) { it.id },
+        allowances = configuration.allowances.filter { it.dataCentre == dataCentre },
+    )
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/HttpPorts.kt
@@ -0,0 +1,92 @@
+/** The two HTTP ports of a process: callers and operators. */
+package dev.bronzeshore.server
+
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.ResultCode
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.delay
+
+/** Time in which the balancer sees that a process is not ready any more. */
+private const val BALANCER_NOTICE_MS = 2_000L
+private const val IDLE_TIMEOUT_SECONDS = 60
+
+internal class HttpPorts(
+    settings: Settings,
+    private val callers: CallerContext,
+    private val operators: OperatorContext,
+) {
+    private val callerServer = server(settings.callers) { callerModule() }
+    private val operatorServer = server(settings.operators) { operatorModule() }
+
+    suspend fun start() {
+        callerServer.startSuspend(wait = false)
+        operatorServer.startSuspend(wait = false)
+    }
+
+    /** Keeps answering while the balancer learns that this process is not ready. */
+    suspend fun awaitBalancer() = delay(BALANCER_NOTICE_MS)
+
+    suspend fun stop() {
+        callerServer.stopSuspend(gracePeriodMillis = 0, timeoutMillis = BALANCER_NOTICE_MS)
+        operatorServer.stopSuspend(gracePeriodMillis = 0, timeoutMillis = BALANCER_NOTICE_MS)
+    }
+
+    private fun server(
+        address: ListenAddress,
+        module: Application.() -> Unit,
+    ): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> = embeddedServer(
+        CIO,
+        configure = {
+            connector {
+                host = address.host
+                port = address.port
+            }
+            connectionIdleTimeoutSeconds = IDLE_TIMEOUT_SECONDS
+            reuseAddress = true
+        },
+        module = module,
+    )
+
+    private fun Application.callerModule() {
+        routing {
+            healthRoutes()
+            jobRoutes(callers)
+            requestRoutes(callers)
+            unknownRoute()
+        }
+    }
+
+    private fun Application.operatorModule() {
+        routing {
+            healthRoutes()
+            operatorRoutes(operators)
+            unknownRoute()
+        }
+    }
+
+    private fun io.ktor.server.routing.Route.healthRoutes() {
+        get("/healthz") { call.respondText("alive\n") }
+        get("/readyz") {
+            val isReady = callers.readiness.isReady
+            val status = if (isReady) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+            call.respondText(if (isReady) "ready\n" else "not ready\n", status = status)
+        }
+    }
+
+    private fun io.ktor.server.routing.Route.unknownRoute() = route("{...}") {
+        handle {
+            val fault = Fault(ResultCode.UNKNOWN_ROUTE, "There is no such path on this port.")
+            call.respondFault(fault, callers.clock())
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/ProcessMetrics.kt
@@ -0,0 +1,52 @@
+/** Metrics of one process, in a registry of its own. */
+package dev.bronzeshore.server
+
+import dev.bronzeshore.core.ResultCode
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+private const val MS_PER_SECOND = 1_000.0
+private val WAIT_BUCKETS_SECONDS = doubleArrayOf(0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 7.7, 30.0, 300.0, 3_600.0)
+
+/** Thread-safe. */
+internal class ProcessMetrics {
+    private val registry = PrometheusRegistry()
+    private val answers = Counter.builder().name("bronzeshore_answers_total")
+        .help("Answers to callers by result code.").labelNames("code").register(registry)
+    private val waitSeconds = Histogram.builder().name("bronzeshore_wait_seconds")
+        .help("Time from acceptance to start, by kind of work.").labelNames("kind")
+        .classicUpperBounds(*WAIT_BUCKETS_SECONDS).classicOnly().register(registry)
+    private val preemptions = Counter.builder().name("bronzeshore_preemptions_total")
+        .help("Parts stopped to make room for more urgent work.").register(registry)
+    private val partFailures = Counter.builder().name("bronzeshore_part_failures_total")
+        .help("Parts that failed, by worker.").labelNames("worker").register(registry)
+
+    init {
+        JvmMetrics.builder().register(registry)
+    }
+
+    fun countAnswer(code: ResultCode) = answers.labelValues(code.name).inc()
+
+    fun observeWait(kind: String, waitMs: Long) = waitSeconds.labelValues(kind).observe(waitMs / MS_PER_SECOND)
+
+    fun countPreemption() = preemptions.inc()
+
+    fun countPartFailure(workerId: String) = partFailures.labelValues(workerId).inc()
+
+    /** Adds a gauge whose value is read when the metrics are scraped; [value] must be safe to call on any thread. */
+    fun gauge(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+    }
+
+    /** All metrics in Prometheus' text format. */
+    fun scrape(): ByteArray {
+        val output = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(output, registry.scrape())
+        return output.toByteArray()
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/ProcessRunner.kt
@@ -0,0 +1,34 @@
+/** Runs a process until it is asked to stop. */
+package dev.bronzeshore.server
+
+import dev.bronzeshore.core.PartLog
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.Executors
+import kotlin.system.exitProcess
+
+/** Longest time for requests in flight to finish after a planned stop was asked for. */
+private const val STOP_TIMEOUT_MS = 60_000L
+private const val EXIT_INVARIANT_FAILED = 70
+
+internal fun runProcess(settings: Settings) {
+    val log = PartLog("server")
+    val control = Executors.newSingleThreadExecutor { Thread(it, "control") }.asCoroutineDispatcher()
+    val process = BronzeshoreProcess(settings, System::currentTimeMillis, control) { failure ->
+        log.error(failure) { "The control thread failed; the process ends so that its deputy takes over." }
+        Runtime.getRuntime().halt(EXIT_INVARIANT_FAILED)
+    }
+    Runtime.getRuntime().addShutdownHook(
+        Thread { runBlocking { process.stop(System.currentTimeMillis() + STOP_TIMEOUT_MS) } },
+    )
+    try {
+        runBlocking {
+            process.start()
+            awaitCancellation()
+        }
+    } catch (failure: Exception) {
+        log.error(failure) { "The process could not start." }
+        exitProcess(1)
+    }
+}
