Add the platform stand-ins with the command `platform`

Cause: tests and the quickstart need the platform's servers without a platform. Change: table service, object store, VM list, workers and endpoints over HTTP, each on its own loopback port in one process, with fault switches and records. One engine holds all ports, because an engine per port occupies a thread of the I/O dispatcher for good and 64 of them starve the rest.

--- /dev/null
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/EndpointStandIn.kt
@@ -0,0 +1,101 @@
+/** An endpoint that echoes each request body while it arrives. */
+package dev.bronzeshore.standins
+
+import dev.bronzeshore.core.ClockMs
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.contentLength
+import io.ktor.server.request.contentType
+import io.ktor.server.request.header
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.discard
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.delay
+
+/** Header with the id of the endpoint that answered. */
+public const val ENDPOINT_HEADER: String = "Stand-In-Endpoint"
+
+/** Header that names a request; the answer repeats it. */
+public const val REQUEST_HEADER: String = "Stand-In-Request"
+
+/** Header of an answer to a request that did not run because no slot was free. */
+public const val NOT_RUN_HEADER: String = "Stand-In-Not-Run"
+
+private const val BUFFER_BYTES = 64 * 1024
+
+internal class EndpointStandIn(private val plan: EndpointPlan, clock: ClockMs) : StandIn {
+    override val id: String = plan.id
+    override val gate = FaultGate()
+    override val calls = CallCounter()
+    private val log = RequestLog(plan, clock)
+
+    override suspend fun answer(call: ApplicationCall, path: String): Answer {
+        val requestId = call.request.header(REQUEST_HEADER)
+        val index = log.begin(requestId, call.request.httpMethod.value, path)
+        call.response.header(ENDPOINT_HEADER, id)
+        requestId?.let { call.response.header(REQUEST_HEADER, it) }
+        if (index == null) {
+            call.response.header(NOT_RUN_HEADER, "true")
+            call.respondText("no free slot\n", status = HttpStatusCode.ServiceUnavailable)
+            return Answer.Sent
+        }
+        try {
+            delay(plan.serviceMs)
+            return run(call, index)
+        } finally {
+            log.end(index, RequestEnding.BROKEN, bodyBytes = 0)
+        }
+    }
+
+    override fun records(): ServerRecords = log.records(calls.counts())
+
+    private suspend fun run(call: ApplicationCall, index: Int): Answer {
+        val body = call.receiveChannel()
+        if (gate.dropsAnswer()) {
+            log.end(index, RequestEnding.ANSWER_DROPPED, body.discard())
+            return Answer.ConnectionClosed
+        }
+        if (gate.faults.failRequests) {
+            log.end(index, RequestEnding.FAILED, body.discard())
+            call.respondText("the endpoint failed\n", status = HttpStatusCode.InternalServerError)
+            return Answer.Sent
+        }
+        call.respondBytesWriter(contentTypeOf(call), HttpStatusCode.OK, call.request.contentLength()) {
+            echo(body, this) { log.end(index, RequestEnding.ANSWERED, it) }
+        }
+        return Answer.Sent
+    }
+
+    private fun contentTypeOf(call: ApplicationCall): ContentType =
+        call.request.contentType().takeIf { it != ContentType.Any } ?: ContentType.Application.OctetStream
+
+    /**
+     * Copies [body] to [output] and calls [onEnd] before the last bytes are written.
+     *
+     * A client that has the complete answer may send its next request at once and must then find the slot free.
+     */
+    private suspend fun echo(body: ByteReadChannel, output: ByteWriteChannel, onEnd: (bodyBytes: Long) -> Unit) {
+        var ready = ByteArray(BUFFER_BYTES)
+        var next = ByteArray(BUFFER_BYTES)
+        var readyBytes = body.readAvailable(ready)
+        var totalBytes = 0L
+        while (readyBytes >= 0) {
+            totalBytes += readyBytes
+            val nextBytes = body.readAvailable(next)
+            if (nextBytes < 0) onEnd(totalBytes)
+            output.writeFully(ready, 0, readyBytes)
+            output.flush()
+            ready = next.also { next = ready }
+            readyBytes = nextBytes
+        }
+        onEnd(totalBytes)
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Platform.kt
@@ -0,0 +1,65 @@
+/** A running platform of stand-ins, for tests in the same process and for the command line. */
+package dev.bronzeshore.standins
+
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.Vm
+import dev.bronzeshore.core.VmRole
+import kotlinx.serialization.Serializable
+
+/** Address (`host:port`) of each server by id; the ids of the first three are `table`, `objects` and `vms`. */
+@Serializable
+public data class PlatformAddresses(
+    public val table: String? = null,
+    public val objectStore: String? = null,
+    public val vmList: String? = null,
+    public val vms: List<Vm> = emptyList(),
+)
+
+/** Hosts the servers of [plan] from its creation until [close]. */
+public class Platform(plan: PlatformPlan, clock: ClockMs) : AutoCloseable {
+    private val table = plan.table?.let { HostedServer(TableStandIn("table"), it.port) }
+    private val objectStore = plan.objectStore?.let { HostedServer(ObjectStandIn("objects"), it.port) }
+    private val vmList = plan.vmList?.let { HostedServer(VmListStandIn("vms", clock), it.port) }
+    private val workers = plan.workers.flatMap { it.expand() }
+        .associateWith { HostedServer(WorkerStandIn(it, clock), it.port) }
+    private val endpoints = plan.endpoints.flatMap { it.expand() }
+        .associateWith { HostedServer(EndpointStandIn(it, clock), it.port) }
+    private val servers = listOfNotNull(table, objectStore, vmList) + workers.values + endpoints.values
+    private val host = StandInHost(servers)
+
+    /** Where the servers listen. */
+    public val addresses: PlatformAddresses = PlatformAddresses(
+        table?.let { addressOf(it) },
+        objectStore?.let { addressOf(it) },
+        vmList?.let { addressOf(it) },
+        workers.map { workerVm(it.key, it.value) } + endpoints.map { endpointVm(it.key, it.value) },
+    )
+
+    init {
+        (vmList?.standIn as? VmListStandIn)?.put(addresses.vms)
+    }
+
+    /** Returns the records of all servers. */
+    public fun records(): List<ServerRecords> = servers.map { it.standIn.records() }
+
+    /** Replaces the faults of the server with [id]. */
+    public fun setFaults(id: String, faults: Faults): Unit =
+        servers.first { it.standIn.id == id }.standIn.gate.replace(faults)
+
+    override fun close(): Unit = host.close()
+
+    private fun addressOf(server: HostedServer): String = "$LOOPBACK:${host.ports.getValue(server.standIn)}"
+
+    private fun workerVm(plan: WorkerPlan, server: HostedServer): Vm =
+        Vm(plan.id, VmRole.WORKER, plan.dataCentre, plan.rack, addressOf(server), capacity = plan.capacity)
+
+    private fun endpointVm(plan: EndpointPlan, server: HostedServer): Vm = Vm(
+        plan.id,
+        VmRole.ENDPOINT,
+        plan.dataCentre,
+        plan.rack,
+        addressOf(server),
+        service = plan.service,
+        slots = plan.slots,
+    )
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/TaskRun.kt
@@ -0,0 +1,60 @@
+/** One task that a worker has started. */
+package dev.bronzeshore.standins
+
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.TaskAction
+import dev.bronzeshore.core.TaskStart
+import dev.bronzeshore.core.TaskState
+
+private class Ending(val atMs: Long, val state: TaskState)
+
+/** Knows when and how the task ends from its deadlines alone, so that no timer is needed. */
+internal class TaskRun(val start: TaskStart, val startedAtMs: Long, val fullUse: Resources, failsAtOnce: Boolean) {
+    var leaseUntilMs: Long = start.leaseUntilMs
+        private set
+    var use: Resources = fullUse
+        private set
+    private var finish = when {
+        failsAtOnce -> Ending(startedAtMs, TaskState.FAILED)
+        start.payload.startsWith("fail") -> Ending(finishAtMs(), TaskState.FAILED)
+        else -> Ending(finishAtMs(), TaskState.SUCCEEDED)
+    }
+    private var stop: Ending? = null
+    private var throttled = false
+
+    /** When the task ends if nothing more is heard about it. */
+    val endsAtMs: Long
+        get() = ending().atMs
+
+    val endsAs: TaskState
+        get() = ending().state
+
+    /** Extends the lease; an older renewal that arrives late does not shorten it. */
+    fun renew(untilMs: Long) {
+        leaseUntilMs = maxOf(leaseUntilMs, untilMs)
+    }
+
+    /** Follows an order at [nowMs]; only the first order to end the task counts. */
+    fun order(action: TaskAction, nowMs: Long, stopMs: Long) {
+        when (action) {
+            TaskAction.STOP -> stop = stop ?: Ending(nowMs + stopMs, TaskState.STOPPED)
+            TaskAction.CHECKPOINT -> stop = stop ?: Ending(nowMs + stopMs, TaskState.CHECKPOINTED)
+            TaskAction.THROTTLE -> throttle(nowMs)
+        }
+    }
+
+    /** Halves the use of processors and doubles the time that is left. */
+    private fun throttle(nowMs: Long) {
+        if (throttled) return
+        throttled = true
+        use = use.copy(processorsMillicores = use.processorsMillicores / 2)
+        finish = Ending(finish.atMs + (finish.atMs - nowMs), finish.state)
+    }
+
+    private fun finishAtMs(): Long = startedAtMs + start.runMs
+
+    private fun ending(): Ending {
+        val lease = Ending(leaseUntilMs, TaskState.LEASE_EXPIRED)
+        return listOfNotNull(finish, stop, lease).minBy { it.atMs }
+    }
+}
