--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/EndpointStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/EndpointStandIn.kt
@@ -3,6 +3,7 @@
 
 import dev.bronzeshore.core.ClockMs
 import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.contentLength
@@ -11,6 +12,7 @@
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.header
+import io.ktor.server.response.respond
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.utils.io.ByteReadChannel
@@ -68,8 +70,15 @@
             call.respondText("the endpoint failed\n", status = HttpStatusCode.InternalServerError)
             return Answer.Sent
         }
-        call.respondBytesWriter(contentTypeOf(call), HttpStatusCode.OK, call.request.contentLength()) {
-            echo(body, this) { log.end(index, RequestEnding.ANSWERED, it) }
+        if (call.request.httpMethod == HttpMethod.Head) {
+            // Without a body there is nothing to echo, and Ktor's writer would send the end mark of a chunked body.
+            log.end(index, RequestEnding.ANSWERED, bodyBytes = 0)
+            call.respond(HttpStatusCode.OK)
+            return Answer.Sent
+        }
+        val lengthBytes = call.request.contentLength()
+        call.respondBytesWriter(contentTypeOf(call), HttpStatusCode.OK, lengthBytes) {
+            echo(body, this, lengthBytes) { log.end(index, RequestEnding.ANSWERED, it) }
         }
         return Answer.Sent
     }
@@ -82,20 +91,22 @@
      *
      * A client that has the complete answer may send its next request at once and must then find the slot free.
      */
-    private suspend fun echo(body: ByteReadChannel, output: ByteWriteChannel, onEnd: (bodyBytes: Long) -> Unit) {
-        var ready = ByteArray(BUFFER_BYTES)
-        var next = ByteArray(BUFFER_BYTES)
-        var readyBytes = body.readAvailable(ready)
-        var totalBytes = 0L
-        while (readyBytes >= 0) {
-            totalBytes += readyBytes
-            val nextBytes = body.readAvailable(next)
-            if (nextBytes < 0) onEnd(totalBytes)
-            output.writeFully(ready, 0, readyBytes)
+    private suspend fun echo(
+        body: ByteReadChannel,
+        output: ByteWriteChannel,
+        lengthBytes: Long?,
+        onEnd: (bodyBytes: Long) -> Unit,
+    ) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        var copiedBytes = 0L
+        while (true) {
+            val readBytes = body.readAvailable(buffer)
+            if (readBytes < 0) break
+            copiedBytes += readBytes
+            if (copiedBytes == lengthBytes) onEnd(copiedBytes)
+            output.writeFully(buffer, 0, readBytes)
             output.flush()
-            ready = next.also { next = ready }
-            readyBytes = nextBytes
         }
-        onEnd(totalBytes)
+        onEnd(copiedBytes)
     }
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Main.kt
@@ -2,6 +2,8 @@
 package dev.bronzeshore.standins
 
 import dev.bronzeshore.core.StrictJson
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
@@ -9,13 +11,22 @@
 import org.kohsuke.args4j.spi.SubCommand
 import org.kohsuke.args4j.spi.SubCommandHandler
 import org.kohsuke.args4j.spi.SubCommands
+import java.io.IOException
 import kotlin.io.path.writeText
 import kotlin.system.exitProcess
 
+/** Largest number of ports in one process. */
+private const val MAX_PORTS = 2_000
+
 private class Options {
     @field:Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler::class)
     @field:SubCommands(
         SubCommand(name = "platform", impl = PlatformCommand::class),
+        SubCommand(name = "table", impl = TableCommand::class),
+        SubCommand(name = "object-store", impl = ObjectStoreCommand::class),
+        SubCommand(name = "vm-list", impl = VmListCommand::class),
+        SubCommand(name = "worker", impl = WorkerCommand::class),
+        SubCommand(name = "endpoint", impl = EndpointCommand::class),
     )
     lateinit var command: StandInCommand
 }
@@ -24,24 +35,37 @@
 public fun main(arguments: Array<String>) {
     configureRuntime()
     val options = Options()
-    val parser = CmdLineParser(options)
     try {
-        parser.parseArgument(*arguments)
+        CmdLineParser(options).parseArgument(*arguments)
+        start(options.command)
     } catch (e: CmdLineException) {
         System.err.println(e.message)
         e.parser.printUsage(System.err)
         exitProcess(2)
+    } catch (e: SerializationException) {
+        exitWith(e)
+    } catch (e: IOException) {
+        exitWith(e)
     }
-    val platform = Platform(options.command.plan(), System::currentTimeMillis)
-    options.command.addresses?.writeText(StrictJson.encodeToString(platform.addresses))
     println("ready")
     Thread.currentThread().join()
 }
 
+private fun start(command: StandInCommand) {
+    val platform = Platform(command.plan(), System::currentTimeMillis)
+    command.vmList?.let { runBlocking { VmRegistrar().register(it, platform.addresses.vms) } }
+    command.addresses?.writeText(StrictJson.encodeToString(platform.addresses))
+}
+
+private fun exitWith(cause: Exception): Nothing {
+    System.err.println(cause)
+    exitProcess(1)
+}
+
 /** Keeps standard output free for `ready`, and gives each listening port the thread that Ktor's engine takes for it. */
 private fun configureRuntime() {
     System.setProperty("tinylog.writer", "console")
     System.setProperty("tinylog.writer.stream", "err")
     System.setProperty("tinylog.level", "warn")
-    System.setProperty("kotlinx.coroutines.io.parallelism", "2000")
+    System.setProperty("kotlinx.coroutines.io.parallelism", MAX_PORTS.toString())
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Platform.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Platform.kt
@@ -15,7 +15,12 @@
     public val vms: List<Vm> = emptyList(),
 )
 
-/** Hosts the servers of [plan] from its creation until [close]. */
+/**
+ * Hosts the servers of a plan from its creation until [close].
+ *
+ * Each port occupies one thread of the I/O dispatcher. With more than about 50 ports, the system property
+ * `kotlinx.coroutines.io.parallelism` has to be raised before the process first uses that dispatcher.
+ */
 public class Platform(plan: PlatformPlan, clock: ClockMs) : AutoCloseable {
     private val table = plan.table?.let { HostedServer(TableStandIn("table"), it.port) }
     private val objectStore = plan.objectStore?.let { HostedServer(ObjectStandIn("objects"), it.port) }
@@ -25,7 +30,13 @@
     private val endpoints = plan.endpoints.flatMap { it.expand() }
         .associateWith { HostedServer(EndpointStandIn(it, clock), it.port) }
     private val servers = listOfNotNull(table, objectStore, vmList) + workers.values + endpoints.values
-    private val host = StandInHost(servers)
+    private val host: StandInHost
+
+    init {
+        val repeated = servers.groupingBy { it.standIn.id }.eachCount().filterValues { it > 1 }.keys
+        require(repeated.isEmpty()) { "These ids name more than one server: $repeated." }
+        host = StandInHost(servers)
+    }
 
     /** Where the servers listen. */
     public val addresses: PlatformAddresses = PlatformAddresses(
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Records.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Records.kt
@@ -24,6 +24,10 @@
 @Serializable
 public enum class Refusal { LATE, NO_ROOM }
 
+/** What a task uses from [sinceMs] on. */
+@Serializable
+public data class UseSince(public val sinceMs: Long, public val used: Resources)
+
 /** One task on a worker; [ending] and [endedAtMs] are null while it runs. */
 @Serializable
 public data class TaskRecord(
@@ -32,9 +36,9 @@
     public val kind: String,
     /** Size named by the start command. */
     public val size: Resources,
-    /** Highest use of the task. */
-    public val used: Resources,
     public val startedAtMs: Long,
+    /** What the task used, from its start on and after each change; empty if it was refused. */
+    public val uses: List<UseSince>,
     public val endedAtMs: Long? = null,
     public val ending: TaskState? = null,
     /** Set if the task was refused; such a task never ran. */
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/StandInHost.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/StandInHost.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
 
 internal const val LOOPBACK = "127.0.0.1"
 private const val CONTROL_PREFIX = "/stand-in/"
@@ -92,7 +93,7 @@
                 if (method == HttpMethod.Post) {
                     standIn.gate.replace(StrictJson.decodeFromString<Faults>(call.receiveText()))
                 }
-                Answer.json(standIn.gate.faults)
+                Answer.text(HttpStatusCode.OK, StrictJson.encodeToString(standIn.gate.faults))
             }
 
             "/stand-in/records" -> Answer.json(standIn.records())
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/TaskRun.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/TaskRun.kt
@@ -12,7 +12,7 @@
 internal class TaskRun(val start: TaskStart, val startedAtMs: Long, val fullUse: Resources, failsAtOnce: Boolean) {
     var leaseUntilMs: Long = start.leaseUntilMs
         private set
-    var use: Resources = fullUse
+    var uses: List<UseSince> = listOf(UseSince(startedAtMs, fullUse))
         private set
     private var finish = when {
         failsAtOnce -> Ending(startedAtMs, TaskState.FAILED)
@@ -20,7 +20,9 @@
         else -> Ending(finishAtMs(), TaskState.SUCCEEDED)
     }
     private var stop: Ending? = null
-    private var throttled = false
+
+    val use: Resources
+        get() = uses.last().used
 
     /** When the task ends if nothing more is heard about it. */
     val endsAtMs: Long
@@ -45,9 +47,8 @@
 
     /** Halves the use of processors and doubles the time that is left. */
     private fun throttle(nowMs: Long) {
-        if (throttled) return
-        throttled = true
-        use = use.copy(processorsMillicores = use.processorsMillicores / 2)
+        if (uses.size > 1) return
+        uses = uses + UseSince(nowMs, use.copy(processorsMillicores = use.processorsMillicores / 2))
         finish = Ending(finish.atMs + (finish.atMs - nowMs), finish.state)
     }
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/WorkerTasks.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/WorkerTasks.kt
@@ -91,8 +91,8 @@
             plan.id,
             start.kind,
             start.size,
-            Resources.NONE,
             nowMs,
+            uses = emptyList(),
             nowMs,
             TaskState.REFUSED,
             refusal,
@@ -111,7 +111,7 @@
     }
 
     private fun status(run: TaskRun, nowMs: Long): TaskStatus {
-        val seen = if (nowMs - run.startedAtMs < plan.usageLagMs) Resources.NONE else run.use
+        val seen = run.uses.lastOrNull { it.sinceMs <= nowMs - plan.usageLagMs }?.used ?: Resources.NONE
         return TaskStatus(run.start.task, TaskState.RUNNING, run.startedAtMs, run.leaseUntilMs, seen)
     }
 
@@ -120,8 +120,8 @@
         plan.id,
         run.start.kind,
         run.start.size,
-        run.fullUse,
         run.startedAtMs,
+        run.uses,
         endedAtMs,
         ending,
     )
