--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Main.kt
@@ -3,7 +3,6 @@
 
 import dev.bronzeshore.core.StrictJson
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
@@ -42,7 +41,7 @@
         System.err.println(e.message)
         e.parser.printUsage(System.err)
         exitProcess(2)
-    } catch (e: SerializationException) {
+    } catch (e: IllegalArgumentException) {
         exitWith(e)
     } catch (e: IOException) {
         exitWith(e)
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Platform.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Platform.kt
@@ -6,7 +6,7 @@
 import dev.bronzeshore.core.VmRole
 import kotlinx.serialization.Serializable
 
-/** Address (`host:port`) of each server by id; the ids of the first three are `table`, `objects` and `vms`. */
+/** Address (`host:port`) of each server that a process hosts; null for those that it does not host. */
 @Serializable
 public data class PlatformAddresses(
     public val table: String? = null,
@@ -25,11 +25,11 @@
     private val table = plan.table?.let { HostedServer(TableStandIn("table"), it.port) }
     private val objectStore = plan.objectStore?.let { HostedServer(ObjectStandIn("objects"), it.port) }
     private val vmList = plan.vmList?.let { HostedServer(VmListStandIn("vms", clock), it.port) }
-    private val workers = plan.workers.flatMap { it.expand() }
-        .associateWith { HostedServer(WorkerStandIn(it, clock), it.port) }
-    private val endpoints = plan.endpoints.flatMap { it.expand() }
-        .associateWith { HostedServer(EndpointStandIn(it, clock), it.port) }
-    private val servers = listOfNotNull(table, objectStore, vmList) + workers.values + endpoints.values
+    private val workerPlans = plan.workers.flatMap { it.expand() }
+    private val workers = workerPlans.map { HostedServer(WorkerStandIn(it, clock), it.port) }
+    private val endpointPlans = plan.endpoints.flatMap { it.expand() }
+    private val endpoints = endpointPlans.map { HostedServer(EndpointStandIn(it, clock), it.port) }
+    private val servers = listOfNotNull(table, objectStore, vmList) + workers + endpoints
     private val host: StandInHost
 
     init {
@@ -43,7 +43,7 @@
         table?.let { addressOf(it) },
         objectStore?.let { addressOf(it) },
         vmList?.let { addressOf(it) },
-        workers.map { workerVm(it.key, it.value) } + endpoints.map { endpointVm(it.key, it.value) },
+        workerPlans.zip(workers, ::workerVm) + endpointPlans.zip(endpoints, ::endpointVm),
     )
 
     init {
@@ -53,7 +53,7 @@
     /** Returns the records of all servers. */
     public fun records(): List<ServerRecords> = servers.map { it.standIn.records() }
 
-    /** Replaces the faults of the server with [id]. */
+    /** Replaces the faults of the server with [id]; `table`, `objects` and `vms` are the ids of the first three. */
     public fun setFaults(id: String, faults: Faults): Unit =
         servers.first { it.standIn.id == id }.standIn.gate.replace(faults)
 
