Index free room, share fairly, reserve, preempt and learn from usage

Cause: each decision visited every worker, and nothing ordered plans, kept room for gangs and urgent work, or used the usage reports. Change: a treap per pool of workers answers best fit; queues of equal jobs wait until room or limit that may fit them is freed; kinds below their share go first; gangs, urgent work and kinds below their share get reservations, the last two with preemption; usage reports adjust charges.

--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/FitScore.kt
@@ -0,0 +1,28 @@
+/** Ranks workers that fit a part: the lower the score, the better the fit. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.Resources
+
+internal object FitScore {
+    /** Scores of one dimension run from 0 (nothing left over) to this. */
+    private const val SCALE: Long = 1_000_000
+
+    /** Best fit: the least room left over, as parts of the worker's capacity, summed over the dimensions. */
+    fun tight(room: WorkerRoom, size: Resources): Long {
+        val free = room.free
+        val capacity = room.capacity
+        return leftOver(free.processorsMillicores, size.processorsMillicores, capacity.processorsMillicores) +
+            leftOver(free.memoryBytes, size.memoryBytes, capacity.memoryBytes) +
+            leftOver(free.accelerators, size.accelerators, capacity.accelerators)
+    }
+
+    /** Best fit among the racks that hold the fewest parts of the same job; [partsInRack] counts them. */
+    fun spread(room: WorkerRoom, size: Resources, partsInRack: Int): Long =
+        partsInRack * RACK_PENALTY + tight(room, size)
+
+    private fun leftOver(free: Long, size: Long, capacity: Long): Long =
+        if (capacity == 0L) 0 else (free - size) / (capacity / SCALE + 1)
+
+    /** Larger than any sum of the three dimensions. */
+    private const val RACK_PENALTY = 10 * SCALE
+}
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/JobChecker.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/JobChecker.kt
@@ -8,7 +8,12 @@
 import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.WorkItem
 
-internal class JobChecker(private val clock: ClockMs, private val workers: WorkerTable, private val book: JobBook) {
+internal class JobChecker(
+    private val clock: ClockMs,
+    private val workers: WorkerTable,
+    private val book: JobBook,
+    private val reservations: ReservationBook,
+) {
     /** True once allowances were set; until then no job is refused for its plan. */
     var allowancesKnown: Boolean = false
 
@@ -48,7 +53,10 @@
     }
 
     private fun refuse(job: JobEntry, fault: Fault, refusals: MutableList<Refusal>) {
-        book.drop(job)
+        reservations.dropAll(job)
+        book.dequeue(job)
+        job.pending.clear()
+        book.forgetIfDone(job)
         refusals.add(Refusal(job.item.jobId, fault))
     }
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/JobEntry.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/JobEntry.kt
@@ -2,6 +2,7 @@
 package dev.bronzeshore.placement
 
 import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.Urgency
 import dev.bronzeshore.core.WorkItem
 import java.util.TreeMap
 import java.util.TreeSet
@@ -13,6 +14,12 @@
 internal class JobEntry(val item: WorkItem, val kindQueue: KindQueue, val sequence: Long) : Comparable<JobEntry> {
     val pending: TreeSet<Int> = TreeSet()
     val running: TreeMap<Int, RunningPart> = TreeMap()
+    val reservations: ArrayList<Reservation> = ArrayList()
+
+    /** Number of running parts in each rack; kept for work that is spread over racks. */
+    val partsByRack: HashMap<String, Int> = HashMap()
+
+    val budget: DisturbanceBudget = DisturbanceBudget()
 
     /** Queue that holds the job while parts are pending. */
     var shapeQueue: ShapeQueue? = null
@@ -20,14 +27,30 @@
     /** True once any part was placed: the job may no longer be refused as "not run". */
     var started: Boolean = false
 
+    /** Since when the job was found not to fit anywhere, or null. */
+    var blockedSinceMs: Long? = null
+
     val isGang: Boolean = item.isGang()
 
+    /** Gang parts and services are spread over racks, so that one rack failure does not take most of them. */
+    val isSpread: Boolean = isGang || item.kind.policy == Policy.INTERACTIVE
+
+    val isImportant: Boolean = item.kind.policy == Policy.IMPORTANT
+
     /** Important work goes by its deadline, all other work by its age. */
-    val orderMs: Long =
-        if (item.kind.policy == Policy.IMPORTANT) item.startBeforeMs ?: Long.MAX_VALUE else item.acceptedAtMs
+    val orderMs: Long = if (isImportant) item.startBeforeMs ?: Long.MAX_VALUE else item.acceptedAtMs
+
+    /** True for urgent work and for important work that is close to its latest start. */
+    fun isPressing(nowMs: Long): Boolean = item.urgency == Urgency.URGENT ||
+        (isImportant && item.startBeforeMs.let { it != null && nowMs >= it - PRESSING_BEFORE_MS })
 
     override fun compareTo(other: JobEntry): Int {
         val byOrder = orderMs.compareTo(other.orderMs)
         return if (byOrder != 0) byOrder else sequence.compareTo(other.sequence)
     }
+
+    internal companion object {
+        /** Leaves time for a checkpoint (2 s), for one that has to be repeated, and for a change of owner. */
+        const val PRESSING_BEFORE_MS: Long = 60_000
+    }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/KindQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/KindQueue.kt
@@ -13,4 +13,32 @@
 
     /** Declared sizes of the running parts. */
     var used: Resources = Resources.NONE
+
+    /** Largest part of the data centre in use in any dimension, and what the weights entitle to, in millionths. */
+    var dominantMicros: Long = 0
+    var entitledMicros: Long = 0
+
+    /** Running parts in order of their start. */
+    val running: LinkedHashSet<RunningPart> = LinkedHashSet()
+
+    /** Declared sizes that reservations keep for this kind. */
+    var reserved: Resources = Resources.NONE
+
+    /** Whether the shares of the others already count this kind as active. */
+    var countedActive: Boolean = false
+
+    /** Reservations for single parts of this kind that are not pressing; there is one at a time. */
+    var shareReservations: Int = 0
+
+    val hasShareReservation: Boolean
+        get() = shareReservations > 0
+
+    val weight: Long
+        get() = kind.weight.coerceAtLeast(1).toLong()
+
+    val isActive: Boolean
+        get() = shapes.isNotEmpty() || running.isNotEmpty()
+
+    val isUnderShare: Boolean
+        get() = dominantMicros < entitledMicros
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
@@ -14,19 +14,36 @@
 import dev.bronzeshore.core.WorkItem
 import dev.bronzeshore.core.WorkPlacer
 
-/** Implements [WorkPlacer] for the control thread; not thread-safe. */
-public class PlacementEngine(clock: ClockMs) : WorkPlacer {
+/**
+ * Implements [WorkPlacer] for the control thread; not thread-safe.
+ *
+ * [mayStop] says whether parts of a job may be stopped without a checkpoint when an ordered checkpoint did not end
+ * them; it must be false for jobs that may not run twice. [learnUsage] turns the lowering and raising of charges by
+ * usage reports on.
+ */
+public class PlacementEngine(
+    clock: ClockMs,
+    mayStop: (jobId: String) -> Boolean = { false },
+    private val learnUsage: Boolean = true,
+) : WorkPlacer {
     private val workers = WorkerTable()
     private val queue = WorkQueue()
     private val book = JobBook(clock, workers, queue)
-    private val checker = JobChecker(clock, workers, book)
-    private val planner = RoundPlanner(workers, queue, book)
+    private val reservations = ReservationBook(workers)
+    private val checker = JobChecker(clock, workers, book, reservations)
+    private val preemptions = PreemptionPlanner(clock, book.shares, mayStop)
+    private val planner = ReservationPlanner(clock, workers, book.shares, reservations, preemptions)
+    private val round = RoundPlanner(clock, workers, queue, book, reservations, planner)
+    private val review = BlockedWorkReview(clock, book, reservations, planner, preemptions, round)
+    private val usage = UsageTracker(workers, preemptions)
 
     override fun putWorker(worker: PlacementWorker) {
         if (workers.put(worker)) checker.fleetChanged = true
+        if (!worker.accepting) reservations.dropOn(workers.roomOf(worker.workerId))
     }
 
     override fun removeWorker(workerId: String) {
+        workers.find(workerId)?.let { reservations.dropOn(it) }
         workers.remove(workerId)
         checker.fleetChanged = true
     }
@@ -34,6 +51,7 @@
     override fun setAllowances(allowances: List<Allowance>) {
         checker.allowancesKnown = true
         checker.fleetChanged = true
+        book.shares.changed()
         val byPlan = allowances.associateBy { it.plan }
         byPlan.keys.forEach { book.planOf(it) }
         for (plan in book.plans.values) {
@@ -58,6 +76,7 @@
 
     override fun cancel(jobId: String) {
         val job = book.jobs[jobId] ?: return
+        reservations.dropAll(job)
         book.dequeue(job)
         job.pending.clear()
         book.forgetIfDone(job)
@@ -71,12 +90,14 @@
         job.started = true
         book.start(job, part, workers.roomOf(workerId))
         book.enqueue(job)
+        reservations.trim(job)
     }
 
     override fun partEnded(jobId: String, part: Int, workerId: String, requeue: Boolean) {
         val job = book.jobs[jobId] ?: return
         val running = job.running[part] ?: return
         if (running.worker.workerId != workerId) return
+        preemptions.ended(running)
         book.release(running)
         queue.limitFreed(job.kindQueue.plan)
         if (requeue) {
@@ -89,26 +110,17 @@
 
     override fun reportUsage(jobId: String, part: Int, workerId: String, used: Resources) {
         val running = book.jobs[jobId]?.running?.get(part) ?: return
-        if (running.worker.workerId != workerId) return
-        running.seenLast = used
-        running.reportCount++
+        if (learnUsage && running.worker.workerId == workerId) usage.report(running, used)
     }
 
     override fun decide(limit: Int): Decisions {
         val refusals = ArrayList<Refusal>()
         checker.refuseEnded(refusals)
-        return Decisions(placements = planner.placeUpTo(limit), refusals = refusals)
+        book.shares.refresh()
+        review.runIfDue()
+        val placements = round.placeUpTo(limit)
+        return Decisions(placements, preemptions.drainOrders(), refusals)
     }
 
-    override fun waitReason(jobId: String): String? {
-        val waiting = book.jobs[jobId]?.shapeQueue ?: return null
-        val size = waiting.wanted
-        return when (waiting.state) {
-            QueueState.WAITS_FOR_LIMIT -> "Waits until plan ${waiting.kindQueue.plan.name} uses less of its allowance."
-            QueueState.WAITS_FOR_ROOM ->
-                "Waits for ${size.processorsMillicores} millicores, ${size.memoryBytes} bytes of memory and " +
-                    "${size.accelerators} accelerators to become free."
-            else -> "Waits for its turn in the queue."
-        }
-    }
+    override fun waitReason(jobId: String): String? = book.jobs[jobId]?.let { WaitReason.of(it) }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PlanAccount.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PlanAccount.kt
@@ -12,12 +12,31 @@
     /** Declared sizes of all running parts; limits count declared sizes, never estimates. */
     var used: Resources = Resources.NONE
 
+    /** Declared sizes that reservations keep for this plan. */
+    var reserved: Resources = Resources.NONE
+
+    /** Largest part of the data centre in use in any dimension, in millionths. */
+    var dominantMicros: Long = 0
+
+    /** Gang of this plan that has a reservation; a plan has one at a time. */
+    var reservedGang: JobEntry? = null
+
     val kinds: LinkedHashMap<String, KindQueue> = LinkedHashMap()
 
     /** Queues that wait until the plan uses less. */
     val limited: LinkedHashSet<ShapeQueue> = LinkedHashSet()
 
-    fun kindQueue(kind: WorkKind): KindQueue = kinds.getOrPut(kind.name) { KindQueue(this, kind) }
+    /** The newest declaration of a kind sets its weight. */
+    fun kindQueue(kind: WorkKind): KindQueue {
+        val queue = kinds.getOrPut(kind.name) { KindQueue(this, kind) }
+        queue.kind = kind
+        return queue
+    }
+
+    val shareWeight: Long
+        get() = weight.coerceAtLeast(1).toLong()
+
+    fun isActive(): Boolean = kinds.values.any { it.isActive }
 
     fun mayAdd(size: Resources): Boolean = limit?.let { (used + size).fitsIn(it) } ?: false
 
--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PreemptionPlanner.kt
@@ -0,0 +1,158 @@
+/** Chooses running parts that leave so that other work can start, and remembers those that were told to. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.Preemption
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.TaskAction
+import dev.bronzeshore.core.Urgency
+
+/** [mayStop] says whether a job's parts may be stopped without a checkpoint if a checkpoint does not come. */
+internal class PreemptionPlanner(
+    private val clock: ClockMs,
+    private val shares: ShareAccounts,
+    private val mayStop: (jobId: String) -> Boolean,
+) {
+    private val stopping: LinkedHashSet<RunningPart> = LinkedHashSet()
+    private val orders: ArrayList<Preemption> = ArrayList()
+
+    /**
+     * Returns the parts on [room] that have to leave so that [size] fits, or null if that is not possible.
+     *
+     * [available] is the room that [size] may use already, including that of parts which are leaving.
+     */
+    fun choose(
+        room: WorkerRoom,
+        size: Resources,
+        available: Resources,
+        mayLeave: (RunningPart) -> Boolean,
+    ): List<RunningPart>? {
+        if (size.fitsIn(available)) return emptyList()
+        val chosen = ArrayList<RunningPart>()
+        var reached = available
+        for (part in room.parts.filter { mayDisturb(it) && mayLeave(it) }.sortedWith(LEAST_LOSS_FIRST)) {
+            chosen.add(part)
+            reached += part.charge
+            if (size.fitsIn(reached)) return withoutSuperfluous(chosen, size, reached)
+        }
+        return null
+    }
+
+    /** Rule for urgent and pressing work: less urgent parts leave, but no part of a kind that is below its share. */
+    fun forPressing(claimant: JobEntry): (RunningPart) -> Boolean {
+        val nowMs = clock()
+        val entitled = shares.isEntitled(claimant.kindQueue)
+        return { victim ->
+            !victim.job.isPressing(nowMs) && (entitled || !victim.job.kindQueue.isUnderShare) && hasTimeToReturn(victim)
+        }
+    }
+
+    /** Rule for a reservation whose time has come: backfill leaves, and so does batch work that is not more urgent. */
+    fun forGang(claimant: JobEntry): (RunningPart) -> Boolean = { victim ->
+        victim.job.item.kind.policy == Policy.BATCH &&
+            (victim.mustEndByMs != null || victim.job.item.urgency >= claimant.item.urgency)
+    }
+
+    /** Rule for a kind below its share: batch work that runs on a lent share leaves. */
+    fun forShare(claimant: JobEntry): (RunningPart) -> Boolean = { victim ->
+        victim.job.kindQueue !== claimant.kindQueue &&
+            victim.job.item.kind.policy == Policy.BATCH &&
+            (victim.mustEndByMs != null || shares.borrows(victim.job.kindQueue, victim.job.item.size))
+    }
+
+    /** Tells [victims] to leave. */
+    fun order(victims: List<RunningPart>) {
+        val nowMs = clock()
+        for (victim in victims) {
+            if (victim.isStopping) continue
+            victim.job.budget.record(victim.part, nowMs)
+            victim.worker.stopping += victim.charge
+            emit(victim, nowMs, TaskAction.CHECKPOINT)
+        }
+    }
+
+    /** Repeats orders that had no effect, because an order or its report may have been lost. */
+    fun repeatLost() {
+        val nowMs = clock()
+        while (stopping.isNotEmpty()) {
+            val oldest = stopping.first()
+            if ((oldest.stopOrderedAtMs ?: 0) + REPEAT_AFTER_MS > nowMs) return
+            val action = if (mayStop(oldest.job.item.jobId)) TaskAction.STOP else TaskAction.CHECKPOINT
+            emit(oldest, nowMs, action)
+        }
+    }
+
+    fun ended(running: RunningPart) {
+        stopping.remove(running)
+    }
+
+    fun drainOrders(): List<Preemption> {
+        if (orders.isEmpty()) return emptyList()
+        val drained = orders.toList()
+        orders.clear()
+        return drained
+    }
+
+    /** Room on [room] that no reservation keeps, once all parts that are leaving have left. */
+    fun availableOn(room: WorkerRoom): Resources = room.free + room.stopping
+
+    private fun emit(victim: RunningPart, nowMs: Long, action: TaskAction) {
+        victim.stopOrderedAtMs = nowMs
+        stopping.remove(victim)
+        stopping.add(victim)
+        orders.add(Preemption(victim.job.item.jobId, victim.part, victim.worker.workerId, action))
+    }
+
+    /** A part placed in this very round is left alone: its start was not sent yet. */
+    private fun mayDisturb(part: RunningPart): Boolean {
+        val nowMs = clock()
+        return part.yields && !part.isStopping && part.startedAtMs < nowMs && part.job.budget.allows(part.part, nowMs)
+    }
+
+    /** Important work leaves only if it can start again well before its latest start. */
+    private fun hasTimeToReturn(part: RunningPart): Boolean {
+        val startBeforeMs = part.job.item.startBeforeMs
+        if (!part.job.isImportant || startBeforeMs == null) return true
+        return clock() + part.job.item.declaredRunMs + JobEntry.PRESSING_BEFORE_MS < startBeforeMs
+    }
+
+    private fun withoutSuperfluous(
+        chosen: MutableList<RunningPart>,
+        size: Resources,
+        all: Resources,
+    ): List<RunningPart> {
+        var reached = all
+        for (part in chosen.toList()) {
+            if (!size.fitsIn(reached - part.charge)) continue
+            reached -= part.charge
+            chosen.remove(part)
+        }
+        return chosen
+    }
+
+    internal companion object {
+        /** A checkpoint takes about 2 s; a second one after 3 s still meets the 7.7 s limit for urgent work. */
+        private const val REPEAT_AFTER_MS = 3_000L
+
+        /** Backfill first, important work last, then the least urgent, then what has run for the shortest time. */
+        private val LEAST_LOSS_FIRST: Comparator<RunningPart> =
+            compareBy<RunningPart> { it.mustEndByMs == null }
+                .thenBy { it.job.isImportant }
+                .thenByDescending { it.job.item.urgency }
+                .thenByDescending { it.startedAtMs }
+
+        /** Cost of disturbing [victims]: few parts, of little urgency, important ones only if nothing else helps. */
+        fun cost(victims: List<RunningPart>): Int = victims.sumOf { victim ->
+            when {
+                victim.job.isImportant -> IMPORTANT_COST
+                victim.job.item.urgency == Urgency.PATIENT -> PATIENT_COST
+                else -> NORMAL_COST
+            }
+        }
+
+        private const val PATIENT_COST = 2
+        private const val NORMAL_COST = 5
+        private const val IMPORTANT_COST = 1_000
+    }
+}
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
@@ -1,58 +1,154 @@
 /** Tries the queues of one round in order and places what fits. */
 package dev.bronzeshore.placement
 
+import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.Placement
+import dev.bronzeshore.core.Policy
 
 internal class RoundPlanner(
+    private val clock: ClockMs,
     private val workers: WorkerTable,
     private val queue: WorkQueue,
     private val book: JobBook,
+    private val reservations: ReservationBook,
+    private val planner: ReservationPlanner,
 ) {
+    private val placements: ArrayList<Placement> = ArrayList()
+    private var limit: Int = 0
+
+    /** Decides at most [limit] placements, except that a gang larger than [limit] starts alone in a round. */
     fun placeUpTo(limit: Int): List<Placement> {
-        val placements = ArrayList<Placement>()
-        for (room in workers.freed) queue.roomFreed(room.free)
-        workers.freed.clear()
-        while (placements.size < limit) {
-            val next = nextQueue() ?: break
-            // A gang larger than the whole limit starts alone in a round; it could never start otherwise.
-            if (placements.isNotEmpty() && placements.size + next.shape.gangParts > limit) break
-            tryPlace(next, placements)
+        this.limit = limit
+        placements.clear()
+        var passes = 0
+        do {
+            absorbFreedRoom()
+            val roundIsFull = !serveQueues()
+        } while (!roundIsFull && workers.freed.isNotEmpty() && ++passes < MAX_PASSES)
+        return placements.toList()
+    }
+
+    /** Places the job of [reservation] if its room is free and the round has space for it. */
+    fun serve(reservation: Reservation): Boolean {
+        val job = reservation.job
+        if (!reservations.isFree(reservation)) return false
+        val parts = if (job.isGang) job.pending.size else 1
+        if (!hasSpaceFor(parts)) return false
+        if (!job.kindQueue.plan.mayAdd(job.item.size * parts)) return false
+        val rooms = reservation.holds.flatMap { hold -> List(hold.parts) { hold.room } }
+        reservations.drop(reservation)
+        commit(job, job.pending.take(parts).zip(rooms, ::Assignment))
+        return true
+    }
+
+    private fun hasSpaceFor(parts: Int): Boolean = placements.isEmpty() || placements.size + parts <= limit
+
+    /** Gives freed room first to the work it was kept for, then lets waiting queues be tried again. */
+    private fun absorbFreedRoom() {
+        while (workers.freed.isNotEmpty() && placements.size < limit) {
+            val room = workers.freed.first()
+            room.holds.map { it.reservation }.forEach { if (it.holds.isNotEmpty()) serve(it) }
+            workers.freed.remove(room)
+            queue.roomFreed(room.free, room.uncharged.takeIf { room.holds.isNotEmpty() })
         }
-        return placements
     }
 
-    private fun nextQueue(): ShapeQueue? = queue.readyKinds.minOfWithOrNull(compareBy { it }) { it.ready.first() }
+    /** Returns false if the round is full. */
+    private fun serveQueues(): Boolean {
+        val nowMs = clock()
+        while (placements.size < limit) {
+            val next = KindOrder.first(queue.readyKinds, nowMs)?.ready?.first() ?: return true
+            if (!hasSpaceFor(next.shape.gangParts)) return false
+            tryPlace(next)
+        }
+        return false
+    }
 
-    private fun tryPlace(next: ShapeQueue, placements: MutableList<Placement>) {
+    private fun tryPlace(next: ShapeQueue) {
         val job = next.jobs.first()
-        if (!next.kindQueue.plan.mayAdd(next.wanted)) {
-            queue.block(next, QueueState.WAITS_FOR_LIMIT)
-            return
+        if (!next.kindQueue.plan.mayAdd(next.wanted)) return queue.block(next, QueueState.WAITS_FOR_LIMIT)
+        if (job.isGang) {
+            if (!workers.fitTogether(job.item.size, job.pending.size)) return waitForRoom(next)
+            reservations.dropAll(job)
+            commit(job, job.pending.map { Assignment(it, null) })
+        } else {
+            val part = job.pending.first()
+            val room = bestRoom(job)
+            if (room == null && !placeInReservedRoom(job, part)) return waitForRoom(next)
+            if (room != null) commit(job, listOf(Assignment(part, room)))
+            reservations.trim(job)
         }
-        val parts = if (job.isGang) job.pending.toList() else listOf(job.pending.first())
-        val started = startAll(job, parts)
-        if (started == null) {
-            queue.block(next, QueueState.WAITS_FOR_ROOM)
-            return
+    }
+
+    private fun bestRoom(job: JobEntry): WorkerRoom? {
+        val size = job.item.size
+        if (!job.isSpread) return workers.bestFit(size) { FitScore.tight(it, size) }
+        return workers.bestFit(size) { FitScore.spread(it, size, job.partsByRack[it.rack] ?: 0) }
+    }
+
+    /** Backfill: starts batch work in kept room if it has to end before that room is needed. */
+    private fun placeInReservedRoom(job: JobEntry, part: Int): Boolean {
+        val nowMs = clock()
+        if (job.item.kind.policy != Policy.BATCH || !job.budget.allows(part, nowMs)) return false
+        val endMs = nowMs + job.item.declaredRunMs
+        val room = workers.reservedRoomFor(job.item.size)
+            .firstOrNull { room -> room.holds.all { endMs <= it.reservation.startAtMs } } ?: return false
+        commit(job, listOf(Assignment(part, room)))
+        job.running[part]?.mustEndByMs = endMs
+        return true
+    }
+
+    private fun waitForRoom(next: ShapeQueue) {
+        val nowMs = clock()
+        val head = next.jobs.first()
+        if (head.blockedSinceMs == null) head.blockedSinceMs = nowMs
+        if (head.isPressing(nowMs)) {
+            reserveForAll(next)
+        } else if (head.isGang) {
+            planner.reserveGang(head)
         }
+        queue.block(next, QueueState.WAITS_FOR_ROOM)
+    }
+
+    /** Keeps room for each of the first pressing parts, so that a burst of them does not start one by one. */
+    fun reserveForAll(next: ShapeQueue) {
+        var left = MAX_RESERVED_PARTS
+        for (job in next.jobs) {
+            val wanted = if (job.isGang) 1 else job.pending.size
+            left -= job.reservations.size
+            while (left > 0 && job.reservations.size < wanted) {
+                if (!planner.reservePressing(job)) return
+                left--
+            }
+            if (left <= 0) return
+        }
+    }
+
+    private class Assignment(val part: Int, val room: WorkerRoom?)
+
+    /** Starts the given parts; an assignment without a worker takes the best one, which the caller has made sure of. */
+    private fun commit(job: JobEntry, assignments: List<Assignment>) {
         book.dequeue(job)
         job.started = true
-        job.pending.removeAll(parts.toSet())
-        started.mapTo(placements) { Placement(job.item.jobId, it.part, it.worker.workerId) }
+        job.blockedSinceMs = null
+        for (assignment in assignments) {
+            val room = assignment.room ?: bestRoom(job)
+            checkNotNull(room) { "no room for part ${assignment.part} of ${job.item.jobId}" }
+            job.pending.remove(assignment.part)
+            book.start(job, assignment.part, room)
+            check(room.charged.fitsIn(room.capacity)) { "worker ${room.workerId} is over its capacity" }
+            placements.add(Placement(job.item.jobId, assignment.part, room.workerId))
+        }
+        val plan = job.kindQueue.plan
+        check(plan.limit?.let { plan.used.fitsIn(it) } == true) { "plan ${plan.name} is over its limit" }
         book.enqueue(job)
     }
 
-    /** Takes room for all [parts], or for none of them and returns null. */
-    private fun startAll(job: JobEntry, parts: List<Int>): List<RunningPart>? {
-        val started = ArrayList<RunningPart>(parts.size)
-        for (part in parts) {
-            val room = workers.bestFit(job.item.size)
-            if (room == null) {
-                started.forEach { book.release(it) }
-                return null
-            }
-            started.add(book.start(job, part, room))
-        }
-        return started
+    private companion object {
+        /** Room given back during a round lets another pass start; what is left waits for the next round. */
+        const val MAX_PASSES = 4
+
+        /** Bounds the time of one round in a flood of urgent work. */
+        const val MAX_RESERVED_PARTS = 64
     }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/RunningPart.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/RunningPart.kt
@@ -18,4 +18,20 @@
     var seenLast: Resources = Resources.NONE
 
     var reportCount: Int = 0
+
+    /** True if the part may be asked to leave; its room then counts as reclaimable. */
+    var yields: Boolean = false
+
+    /** When the part was last told to leave, or null. */
+    var stopOrderedAtMs: Long? = null
+
+    /** Deadline of a part that runs in reserved room; it has to leave then. */
+    var mustEndByMs: Long? = null
+
+    val isStopping: Boolean
+        get() = stopOrderedAtMs != null
+
+    /** Expected end by the declaration; the declared run time is often far off. */
+    val expectedEndMs: Long
+        get() = startedAtMs + job.item.declaredRunMs
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
@@ -22,7 +22,7 @@
     /** Position in the list of blocked queues, or -1. */
     var blockedAt: Int = -1
 
-    private val rank: Int = if (kindQueue.kind.policy == Policy.IMPORTANT) 0 else shape.urgency.ordinal
+    val rank: Int = if (kindQueue.kind.policy == Policy.IMPORTANT) 0 else shape.urgency.ordinal
 
     override fun compareTo(other: ShapeQueue): Int {
         val byRank = rank.compareTo(other.rank)
--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/UsageEstimator.kt
@@ -0,0 +1,42 @@
+/** Learns from usage reports what a running part needs. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.Resources
+
+/**
+ * The rule:
+ *
+ * * Until [MIN_REPORTS] reports came in, a part is charged its declared size, or what it was seen to use if that is
+ *   more.
+ * * After that, a batch part is charged the processors of its highest seen use plus a quarter plus 100 millicores,
+ *   but no more than the larger of its declared size and its seen use.
+ * * Memory is never charged below the declared size, because a worker that runs out of memory cannot slow a part
+ *   down. Accelerators are always charged as declared.
+ */
+internal object UsageEstimator {
+    const val MIN_REPORTS: Int = 5
+    private const val MARGIN_DIVISOR = 4
+    private const val MARGIN_MILLICORES = 100L
+
+    fun chargeOf(running: RunningPart): Resources {
+        val declared = running.job.item.size
+        val peak = running.seenPeak
+        val bound = maxOf(declared.processorsMillicores, peak.processorsMillicores)
+        val learned = !running.job.isGang &&
+            running.job.item.kind.policy == Policy.BATCH &&
+            running.reportCount >= MIN_REPORTS
+        val withMargin = peak.processorsMillicores + peak.processorsMillicores / MARGIN_DIVISOR + MARGIN_MILLICORES
+        return Resources(
+            if (learned) minOf(bound, withMargin) else bound,
+            maxOf(declared.memoryBytes, peak.memoryBytes),
+            declared.accelerators,
+        )
+    }
+
+    fun peakOf(seen: Resources, used: Resources): Resources = Resources(
+        maxOf(seen.processorsMillicores, used.processorsMillicores),
+        maxOf(seen.memoryBytes, used.memoryBytes),
+        maxOf(seen.accelerators, used.accelerators),
+    )
+}
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/WorkQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WorkQueue.kt
@@ -46,12 +46,13 @@
         }
     }
 
-    /** Makes ready what waits for room and may fit into [room] on one worker. */
-    fun roomFreed(room: Resources) {
+    /** Makes ready what waits for room and may fit into [free], or by backfill into [behindHolds], on one worker. */
+    fun roomFreed(free: Resources, behindHolds: Resources?) {
         var at = blocked.size - 1
         while (at >= 0) {
             val queue = blocked[at]
-            if (queue.shape.size.fitsIn(room)) makeReady(queue)
+            val size = queue.shape.size
+            if (size.fitsIn(free) || (behindHolds != null && size.fitsIn(behindHolds))) makeReady(queue)
             at--
         }
     }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/WorkerRoom.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WorkerRoom.kt
@@ -3,7 +3,7 @@
 
 import dev.bronzeshore.core.Resources
 
-/** Mutable room of one worker; [slot] is its position in the free-room index. */
+/** Mutable room of one worker; [slot] is its position in the indexes. */
 internal class WorkerRoom(val workerId: String, val slot: Int) {
     var rack: String = ""
     var capacity: Resources = Resources.NONE
@@ -18,9 +18,24 @@
     /** Room kept for work that is not placed yet. */
     var held: Resources = Resources.NONE
 
+    /** Sum of the charges of parts that may be asked to leave or are leaving. */
+    var yielding: Resources = Resources.NONE
+
+    /** Sum of the charges of parts that were told to leave. */
+    var stopping: Resources = Resources.NONE
+
+    /** Sum of the most recent reported use. */
+    var seen: Resources = Resources.NONE
+
+    /** Free room at the last update of the indexes. */
+    var indexedFree: Resources = Resources.NONE
+
     val parts: LinkedHashSet<RunningPart> = LinkedHashSet()
 
-    /** Room left if every kept room were given away; negative where capacity shrank or estimates rose. */
+    /** Reservations on this worker, oldest first. */
+    val holds: ArrayList<Hold> = ArrayList()
+
+    /** Room that running parts leave; negative where capacity shrank or estimates rose. */
     val uncharged: Resources
         get() = capacity - charged
 
