Name marks and nested fields exactly in configuration differences

Cause: a new mark read "VM w1 added", and two nested sizes with equal field names would have hidden each other's changes. Change: marks have sentences of their own; nested fields carry the name of their parent. Conclusion: every field of the models is compared under its own name.

--- a/plans/src/main/kotlin/dev/bronzeshore/plans/ConfigurationDiffer.kt
+++ b/plans/src/main/kotlin/dev/bronzeshore/plans/ConfigurationDiffer.kt
@@ -53,8 +53,12 @@
     private fun describeAllowances(target: String, old: Allowance?, new: Allowance?): List<String> =
         ItemDiffer.describe("allowance of $target", Allowance.serializer(), old, new, setOf("plan", "dataCentre"))
 
-    private fun describeMarks(vmId: String, old: MarkedVm?, new: MarkedVm?): List<String> =
-        ItemDiffer.describe("VM $vmId", MarkedVm.serializer(), old, new, setOf("vmId"))
+    private fun describeMarks(vmId: String, old: MarkedVm?, new: MarkedVm?): List<String> = when {
+        old == null -> listOf("VM $vmId: mark ${new?.mark} set")
+        new == null -> listOf("VM $vmId: mark ${old.mark} removed")
+        old.mark == new.mark -> emptyList()
+        else -> listOf("VM $vmId: mark ${old.mark} -> ${new.mark}")
+    }
 
     private fun target(allowance: Allowance): String = "${allowance.plan} in ${allowance.dataCentre}"
 
--- a/plans/src/main/kotlin/dev/bronzeshore/plans/ItemDiffer.kt
+++ b/plans/src/main/kotlin/dev/bronzeshore/plans/ItemDiffer.kt
@@ -13,7 +13,10 @@
         val before = old?.let { fields(StrictJson.encodeToJsonElement(serializer, it), skipped) }.orEmpty()
         val after = new?.let { fields(StrictJson.encodeToJsonElement(serializer, it), skipped) }.orEmpty()
         return when {
-            old == null -> listOf("$title added (${after.entries.joinToString { "${it.key} ${it.value}" }})")
+            old == null -> {
+                val given = after.filterValues { it != "null" }
+                listOf("$title added (${given.entries.joinToString { "${it.key} ${it.value}" }})")
+            }
 
             new == null -> listOf("$title removed")
 
@@ -25,13 +28,14 @@
     }
 
     // Going through JSON covers every field of the models, also fields that are added to them later.
-    private fun fields(element: JsonElement, skipped: Set<String> = emptySet()): Map<String, String> = buildMap {
-        for ((name, value) in element as JsonObject) {
-            when {
-                name in skipped -> continue
-                value is JsonObject -> putAll(fields(value))
-                else -> put(name, value.toString().trim('"'))
+    private fun fields(element: JsonElement, skipped: Set<String>, prefix: String = ""): Map<String, String> =
+        buildMap {
+            for ((name, value) in element as JsonObject) {
+                when {
+                    prefix + name in skipped -> continue
+                    value is JsonObject -> putAll(fields(value, skipped, "$prefix$name."))
+                    else -> put(prefix + name, value.toString().trim('"'))
+                }
             }
         }
-    }
 }
