Add bronzeshorectl

Cause: operators need a tool to apply plans, mark VMs, look after jobs and check files offline, with exit codes that scripts can rely on.

--- /dev/null
+++ b/ctl/src/main/kotlin/dev/bronzeshore/ctl/ConfigurationFiles.kt
@@ -0,0 +1,52 @@
+/** The operators' two files, read and checked offline. */
+package dev.bronzeshore.ctl
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import dev.bronzeshore.core.Allowance
+import dev.bronzeshore.core.Configuration
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.Plan
+import dev.bronzeshore.plans.AllowanceListReader
+import dev.bronzeshore.plans.PlanListReader
+import java.nio.file.Path
+
+/** Content of `plans.json` and `allowances.json`. */
+internal data class ConfigurationFiles(val plans: List<Plan>, val allowances: List<Allowance>) {
+    /** The configuration that would be in force after these files replaced the lists of [current]. */
+    fun over(current: Configuration): Configuration = current.copy(plans = plans, allowances = allowances)
+
+    companion object {
+        const val USAGE = "directory of plans.json and allowances.json; default: the current one"
+
+        fun readDirectory(directory: String): Either<CtlFailure, ConfigurationFiles> {
+            val path = Path.of(directory)
+            return read(path.resolve("plans.json"), path.resolve("allowances.json"))
+        }
+
+        /** Reads both files and reports the faults of both in one go. */
+        private fun read(plansFile: Path, allowancesFile: Path): Either<CtlFailure, ConfigurationFiles> = either {
+            val plansText = readText(plansFile).bind()
+            val allowancesText = readText(allowancesFile).bind()
+            val plans = PlanListReader().read(plansFile.toString(), plansText)
+            // With faults in the plans their names are not known, and unknown ones would be reported wrongly.
+            val names = plans.getOrNull()?.map { it.name }?.toSet()
+            val allowances = AllowanceListReader(names).read(allowancesFile.toString(), allowancesText)
+            combine(plans, allowances).bind()
+        }
+
+        private fun combine(
+            plans: Either<List<Fault>, List<Plan>>,
+            allowances: Either<List<Fault>, List<Allowance>>,
+        ): Either<CtlFailure, ConfigurationFiles> {
+            val faults = plans.leftOrNull().orEmpty() + allowances.leftOrNull().orEmpty()
+            return if (faults.isEmpty()) {
+                ConfigurationFiles(plans.getOrNull().orEmpty(), allowances.getOrNull().orEmpty()).right()
+            } else {
+                CtlFailure.refused(faults).left()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/dev/bronzeshore/ctl/Files.kt
@@ -0,0 +1,17 @@
+/** Reading files that the operator names. */
+package dev.bronzeshore.ctl
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The text of [file], which has to be UTF-8. */
+internal fun readText(file: Path): Either<CtlFailure, String> = try {
+    Files.readString(file).right()
+} catch (e: IOException) {
+    val reason = if (Files.exists(file)) e.toString() else "there is no such file"
+    CtlFailure.usage("The file cannot be read: $reason.", "a readable UTF-8 file", file.toString()).left()
+}
