--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/AdmissionQueue.kt
@@ -0,0 +1,184 @@
+/** Admission of requests: bounded queues per kind in front of the slots that this process holds. */
+package dev.bronzeshore.requests
+
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.Plan
+import dev.bronzeshore.core.ResultCode
+
+/** Bounds of the queues. */
+public data class AdmissionLimits(
+    public val waitingPerKind: Int = 512,
+    /** Bound over all kinds of a plan; a kind below its weighted part of it is still accepted. */
+    public val waitingPerPlan: Int = 1_024,
+)
+
+/**
+ * Decides which request gets the next free slot. Control state: not thread-safe.
+ *
+ * Requests of a kind are ordered by deadline; slots are shared between the kinds of a plan by [KindPicker], and between
+ * plans by the owners' grants. Refusals are decided before a request is queued and cost a few comparisons.
+ */
+public class AdmissionQueue internal constructor(
+    private val clock: ClockMs,
+    private val pool: SlotPool,
+    private val limits: AdmissionLimits,
+    private val pick: KindPicker,
+) {
+    private class PlanQueues(var kinds: Map<String, KindQueue> = emptyMap(), var waiting: Int = 0) {
+        var weight: Int = 1
+    }
+
+    private val plans = HashMap<String, PlanQueues>()
+    private val lanes = LinkedHashMap<LaneKey, List<KindQueue>>()
+    private var lastOrder = 0L
+
+    public constructor(clock: ClockMs, pool: SlotPool, limits: AdmissionLimits = AdmissionLimits()) :
+        this(clock, pool, limits, FairPicker()::pick)
+
+    /** Takes over the kinds that are answered by services; requests of a kind that is gone are refused. */
+    public fun configure(list: List<Plan>) {
+        val removed = ArrayList<KindQueue>()
+        for (plan in list) {
+            val queues = plans.getOrPut(plan.name) { PlanQueues() }
+            val known = queues.kinds
+            queues.kinds = plan.kinds.mapNotNull { kind ->
+                val service = kind.service ?: return@mapNotNull null
+                val kept = known[kind.name]?.takeIf { it.service == service }
+                kept?.kind = kind
+                kept ?: KindQueue(plan.name, service, kind)
+            }.associateBy { it.kind.name }
+            queues.weight = queues.kinds.values.sumOf { it.weight }
+            removed += known.values.filter { queues.kinds[it.kind.name] !== it }
+        }
+        val names = list.map { it.name }.toSet()
+        removed += plans.filterKeys { it !in names }.values.flatMap { it.kinds.values }
+        for (queue in removed) refuseAll(queue, Fault(ResultCode.UNKNOWN_KIND, "The kind is no longer configured."))
+        plans.keys.retainAll(names)
+        lanes.clear()
+        lanes += plans.values.flatMap { it.kinds.values }.groupBy { LaneKey(it.service, it.plan) }
+        slotsChanged()
+    }
+
+    /** Says at low cost why a request would be refused now, or null if it would be queued. */
+    public fun refusalOf(plan: String, kind: String, service: String): Fault? {
+        val queues = plans[plan] ?: return UNKNOWN_PLAN
+        val queue = queues.kinds[kind] ?: return UNKNOWN_KIND
+        if (queue.service != service) return UNKNOWN_SERVICE
+        val code =
+            when {
+                queue.waiting >= limits.waitingPerKind -> ResultCode.QUEUE_FULL
+                queues.waiting < limits.waitingPerPlan -> return null
+                queue.waiting < limits.waitingPerPlan * queue.weight / queues.weight -> return null
+                else -> ResultCode.SHARE_EXHAUSTED
+            }
+        return code.toFault(retryAtMs = queue.drainedAtMs(clock()))
+    }
+
+    /** Queues a request, or returns the fault with which it is refused. A free slot is given out at once. */
+    public fun enqueue(request: QueuedRequest): Fault? {
+        val fault = refusalOf(request.plan, request.kind, request.service)
+        if (fault == null) add(request)
+        return fault
+    }
+
+    /** Queues a request again that was admitted before and could not be sent; no bound applies. */
+    public fun requeue(request: QueuedRequest): Fault? {
+        if (plans[request.plan]?.kinds?.get(request.kind)?.service != request.service) return UNKNOWN_KIND
+        add(request)
+        return null
+    }
+
+    /** Removes a waiting request without a decision; returns false if it was decided before. */
+    public fun cancel(request: QueuedRequest): Boolean {
+        if (request.state != QueuedState.WAITING) return false
+        request.state = QueuedState.ENDED
+        request.queue?.cancelled()
+        leftQueue(request)
+        return true
+    }
+
+    /** Gives back the slot of a started request and hands it on. */
+    public fun release(request: QueuedRequest, lease: SlotLease) {
+        if (request.state != QueuedState.STARTED) return
+        request.state = QueuedState.ENDED
+        pool.release(lease)
+        request.queue?.ended(clock())
+        dispatch(LaneKey(request.service, request.plan))
+    }
+
+    /** To be called after allotments or the set of leaving endpoints changed. */
+    public fun slotsChanged(): Unit = lanes.keys.forEach { dispatch(it) }
+
+    /** To be called several times a second: refuses requests whose latest start has passed. */
+    public fun tick() {
+        val nowMs = clock()
+        lanes.values.forEach { kinds -> kinds.forEach { dropExpired(it, nowMs) } }
+        slotsChanged()
+    }
+
+    /** Requests of a plan that wait for a service. */
+    public fun waiting(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.sumOf { it.waiting } ?: 0
+
+    /** Service and plan of all configured kinds. */
+    internal fun laneKeys(): Set<LaneKey> = lanes.keys
+
+    private fun add(request: QueuedRequest) {
+        val queues = plans.getValue(request.plan)
+        val queue = queues.kinds.getValue(request.kind)
+        request.queue = queue
+        request.order = lastOrder++
+        request.state = QueuedState.WAITING
+        queue.add(request)
+        queues.waiting++
+        dispatch(LaneKey(request.service, request.plan))
+    }
+
+    private fun dispatch(key: LaneKey) {
+        val kinds = lanes[key] ?: return
+        val nowMs = clock()
+        while (true) {
+            val free = pool.free(key.service, key.plan)
+            if (free == 0) return
+            val queue = pick(LaneView(kinds, pool.granted(key.service, key.plan), free, nowMs)) ?: return
+            dropExpired(queue, nowMs)
+            if (queue.waiting == 0) continue
+            val lease = pool.take(key.service, key.plan) ?: return
+            val request = queue.pollHead() ?: error("a queue with waiting requests has no head")
+            leftQueue(request)
+            queue.started(nowMs)
+            request.state = QueuedState.STARTED
+            request.onDecision(AdmissionDecision.Start(lease))
+        }
+    }
+
+    private fun dropExpired(queue: KindQueue, nowMs: Long) {
+        while (true) {
+            val head = queue.head() ?: return
+            if (nowMs <= head.startBeforeMs) return
+            refuseHead(queue, DEADLINE_PASSED)
+        }
+    }
+
+    private fun refuseAll(queue: KindQueue, fault: Fault) {
+        while (queue.head() != null) refuseHead(queue, fault)
+    }
+
+    private fun refuseHead(queue: KindQueue, fault: Fault) {
+        val request = queue.pollHead() ?: return
+        leftQueue(request)
+        request.state = QueuedState.ENDED
+        request.onDecision(AdmissionDecision.Refused(fault))
+    }
+
+    private fun leftQueue(request: QueuedRequest) {
+        plans[request.plan]?.let { it.waiting-- }
+    }
+
+    private companion object {
+        val UNKNOWN_PLAN = ResultCode.UNKNOWN_PLAN.toFault()
+        val UNKNOWN_KIND = ResultCode.UNKNOWN_KIND.toFault()
+        val UNKNOWN_SERVICE = ResultCode.UNKNOWN_SERVICE.toFault()
+        val DEADLINE_PASSED = ResultCode.DEADLINE_PASSED.toFault()
+    }
+}
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/AllotmentLedger.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/AllotmentLedger.kt
@@ -41,9 +41,9 @@
         val nowMs = clock()
         val untilMs = minOf(nowMs + GRANT_MS, actUntilMs())
         if (request.dataCentre != dataCentre || untilMs <= nowMs) return Allotments(emptyList())
-        holders.values.removeAll { it.expire(nowMs) }
+        holders.values.removeAll { it.isExpired(nowMs) }
         val holder = holders.getOrPut(request.processId) { SlotHolder(request.processId) }
-        if (!holder.report(request, nowMs + GRANT_MS)) return Allotments(emptyList())
+        if (!holder.report(request, nowMs)) return Allotments(emptyList())
         val usage = SlotUsage(holders.values)
         val granted = LinkedHashMap<SlotKey, Int>()
         for ((service, demand) in request.demand.groupBy { it.service }) {
@@ -59,7 +59,7 @@
 
     /** Slots that may be in use at an endpoint now, by any process. */
     public fun countedAt(endpointId: String): Int {
-        holders.values.removeAll { it.expire(clock()) }
+        holders.values.removeAll { it.isExpired(clock()) }
         return SlotUsage(holders.values).at(endpointId)
     }
 
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/HeldSlots.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/HeldSlots.kt
@@ -3,9 +3,11 @@
 
 /** An allotment together with the requests in flight; kept while either is left. */
 internal class HeldSlots(val key: SlotKey, val dataCentre: String, val address: String, val lane: Lane) {
+    /** Like [inUse], changed by the lane only, which keeps the sums. */
     var slots: Int = 0
     var untilMs: Long = Long.MIN_VALUE
     var inUse: Int = 0
+    val unused: Int get() = maxOf(0, slots - inUse)
 
     /** Position in the lane's list of candidates, or -1. */
     var position: Int = -1
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/KindQueue.kt
@@ -0,0 +1,75 @@
+/** The queue of one kind of requests. */
+package dev.bronzeshore.requests
+
+import dev.bronzeshore.core.WorkKind
+import java.util.PriorityQueue
+
+/** Requests of one kind, by deadline, with the slots that the kind has in use. */
+internal class KindQueue(val plan: String, val service: String, var kind: WorkKind) {
+    private val heap = PriorityQueue(BY_DEADLINE)
+    private val starts = DecayedRate(RATE_WINDOW_MS)
+
+    /** Mean of [inUse], which decides between kinds that are at their entitlement. */
+    val usage: DecayedLevel = DecayedLevel(USAGE_WINDOW_MS)
+    var waiting: Int = 0
+        private set
+    var inUse: Int = 0
+        private set
+    val weight: Int get() = maxOf(1, kind.weight)
+
+    fun add(request: QueuedRequest) {
+        heap.add(request)
+        waiting++
+    }
+
+    /** The waiting request with the earliest deadline. */
+    fun head(): QueuedRequest? {
+        while (heap.isNotEmpty() && heap.peek().state != QueuedState.WAITING) heap.poll()
+        return heap.peek()
+    }
+
+    fun pollHead(): QueuedRequest? {
+        val request = head() ?: return null
+        heap.poll()
+        waiting--
+        return request
+    }
+
+    /** Takes note that a waiting request was cancelled; entries are removed in bulk, in constant time each. */
+    fun cancelled() {
+        waiting--
+        if (heap.size > 2 * waiting + MIN_DEAD_ENTRIES) heap.removeIf { it.state != QueuedState.WAITING }
+    }
+
+    fun started(nowMs: Long) {
+        starts.count(nowMs)
+        inUse++
+        usage.set(nowMs, inUse)
+    }
+
+    fun ended(nowMs: Long) {
+        inUse--
+        usage.set(nowMs, inUse)
+    }
+
+    /** When the requests that wait now should have left the queue, by the recent rate of starts. */
+    fun drainedAtMs(nowMs: Long): Long {
+        val waitMs = waiting / maxOf(starts.perMs(nowMs), MIN_RATE_PER_MS)
+        return nowMs + waitMs.toLong().coerceIn(MIN_RETRY_MS, MAX_RETRY_MS)
+    }
+
+    private companion object {
+        const val RATE_WINDOW_MS = 2_000.0
+        const val USAGE_WINDOW_MS = 1_000.0
+        const val MIN_DEAD_ENTRIES = 64
+        const val MIN_RATE_PER_MS = 1e-3
+        const val MIN_RETRY_MS = 100L
+        const val MAX_RETRY_MS = 30_000L
+
+        val BY_DEADLINE =
+            Comparator<QueuedRequest> { a, b ->
+                val byDeadline = a.startBeforeMs.compareTo(b.startBeforeMs)
+                if (byDeadline != 0) byDeadline else a.order.compareTo(b.order)
+            }
+    }
+}
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/Lane.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/Lane.kt
@@ -5,24 +5,51 @@
 
 /** Candidates with a free slot, kept so that adding and removing one takes constant time. */
 internal class Lane(val key: LaneKey) {
-    private val free = ArrayList<HeldSlots>()
+    private val open = ArrayList<HeldSlots>()
 
     /** Endpoints that had a free slot when last updated; deadlines may have passed since. */
-    val candidates: List<HeldSlots> get() = free
+    val candidates: List<HeldSlots> get() = open
     var inUse: Int = 0
         private set
+
+    /** Sum of the slots granted at all endpoints. */
+    var granted: Int = 0
+        private set
+
+    /** Sum of the slots that are granted and not in use, also those whose deadline has passed. */
+    var free: Int = 0
+        private set
+    private var windowStartMs = Long.MIN_VALUE / 2
     private var peakInUse = 0
+    private var lastPeakInUse = 0
 
-    fun changeInUse(change: Int) {
+    fun changeInUse(held: HeldSlots, change: Int, nowMs: Long) {
+        rotate(nowMs)
+        free -= held.unused
+        held.inUse += change
+        free += held.unused
         inUse += change
         peakInUse = maxOf(peakInUse, inUse)
     }
 
-    /** Most slots in use at a time since the last call. */
-    fun takePeak(): Int {
-        val peak = peakInUse
+    fun setSlots(held: HeldSlots, slots: Int) {
+        free -= held.unused
+        granted += slots - held.slots
+        held.slots = slots
+        free += held.unused
+    }
+
+    /** Most slots in use at a time during the last one to two windows. */
+    fun peakInUse(nowMs: Long): Int {
+        rotate(nowMs)
+        return maxOf(peakInUse, lastPeakInUse)
+    }
+
+    private fun rotate(nowMs: Long) {
+        if (nowMs - PEAK_WINDOW_MS < windowStartMs) return
+        lastPeakInUse = if (nowMs - 2 * PEAK_WINDOW_MS < windowStartMs) peakInUse else inUse
         peakInUse = inUse
-        return peak
+        windowStartMs = nowMs
     }
 
     /** Adds or removes [held], whichever its state asks for. */
@@ -32,19 +59,22 @@
         if (!isFree && held.position >= 0) remove(held)
     }
 
-    fun freeSlots(nowMs: Long): Int = free.filter { it.isFree(nowMs) }.sumOf { it.slots - it.inUse }
-
     private fun add(held: HeldSlots) {
-        held.position = free.size
-        free.add(held)
+        held.position = open.size
+        open.add(held)
     }
 
     private fun remove(held: HeldSlots) {
-        val last = free.removeAt(free.lastIndex)
+        val last = open.removeAt(open.lastIndex)
         if (last !== held) {
-            free[held.position] = last
+            open[held.position] = last
             last.position = held.position
         }
         held.position = -1
     }
+
+    private companion object {
+        /** As long as the time between two requests for slots. */
+        const val PEAK_WINDOW_MS = 1_000L
+    }
 }
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/RequestHeaders.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RequestHeaders.kt
@@ -30,3 +30,15 @@
         name !in HOP_BY_HOP && name !in SET_BY_CLIENT && name !in named
     }
 }
+
+/** False if a part of the request would break out of its line in the head that is sent. */
+internal fun IncomingRequest.isWellFormed(): Boolean = method.isNotEmpty() &&
+    method.all { it.isLetter() || it == '-' } &&
+    pathAndQuery.startsWith('/') &&
+    pathAndQuery.none { it <= ' ' || it == DELETE } &&
+    headers.all { line -> line.name.isNotEmpty() && line.name.none { it <= ' ' || it == ':' } && line.hasOneLine() } &&
+    (contentLength == null || contentLength >= 0)
+
+private const val DELETE = '\u007f'
+
+private fun HeaderLine.hasOneLine(): Boolean = value.none { it == '\r' || it == '\n' || it == '\u0000' }
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RouteDecisions.kt
@@ -0,0 +1,92 @@
+/** Decisions about single requests, all taken on the control thread. */
+package dev.bronzeshore.requests
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.ResultCode
+import kotlinx.coroutines.CompletableDeferred
+
+/** A request that was admitted or waits, with the decision to come. */
+internal class Admission(request: IncomingRequest, startBeforeMs: Long) {
+    val decision = CompletableDeferred<AdmissionDecision>()
+
+    /** The slot once the request is admitted; control state. */
+    var lease: SlotLease? = null
+        private set
+    val queued: QueuedRequest =
+        QueuedRequest(request.plan, request.kind, request.service, startBeforeMs) {
+            lease = (it as? AdmissionDecision.Start)?.lease
+            decision.complete(it)
+        }
+}
+
+/** The part of the router's control state that a request uses. Control state: not thread-safe. */
+internal class RouteDecisions(
+    val clock: ClockMs,
+    private val queue: AdmissionQueue,
+    private val latency: LatencyTracker,
+    private val retries: RetryBudget,
+    private val limits: RouterLimits,
+    private val noSlotFree: () -> Unit,
+) {
+    /** The latest start of a request that arrives now. */
+    fun startBeforeMs(request: IncomingRequest): Long = request.startBeforeMs ?: (clock() + limits.maxWaitMs)
+
+    fun admit(request: IncomingRequest, startBeforeMs: Long, attempt: Int): Either<Fault, Admission> {
+        val admission = Admission(request, startBeforeMs)
+        val fault = if (attempt == 1) queue.enqueue(admission.queued) else queue.requeue(admission.queued)
+        if (fault != null) return fault.left()
+        if (admission.queued.state == QueuedState.WAITING) noSlotFree()
+        return admission.right()
+    }
+
+    /** Gives back whatever the admission holds, also if its decision was not seen by the caller. */
+    fun giveUp(admission: Admission) {
+        if (queue.cancel(admission.queued)) return
+        admission.lease?.let { queue.release(admission.queued, it) }
+    }
+
+    /** Records how an attempt ended and frees its slot. */
+    fun ended(admission: Admission, lease: SlotLease, sentAtMs: Long, end: AttemptEnd) {
+        when (end) {
+            is AttemptEnd.Answered -> {
+                latency.answered(lease.endpointId, end.firstByteAtMs - sentAtMs)
+                retries.succeeded()
+            }
+
+            is AttemptEnd.NotSent, is AttemptEnd.Unanswered -> latency.failed(lease.endpointId)
+
+            is AttemptEnd.AnswerBroken, is AttemptEnd.CallerGone -> Unit
+        }
+        queue.release(admission.queued, lease)
+    }
+
+    /** Says whether another attempt may follow one that ended without an answer. */
+    fun mayRetry(request: IncomingRequest, body: ReplayableBody, end: AttemptEnd, attempts: Int): Boolean = when {
+        attempts >= limits.maxAttempts -> false
+
+        // Nothing was sent, so this attempt neither ran nor loaded an endpoint.
+        end is AttemptEnd.NotSent -> body.isReplayable
+
+        end is AttemptEnd.Unanswered -> request.idempotent && body.isReplayable && retries.tryRetry()
+
+        else -> false
+    }
+
+    /** The fault of a request whose last attempt ended with [end]; [mayHaveRun] covers all its attempts. */
+    fun faultOf(end: AttemptEnd, mayHaveRun: Boolean): Fault {
+        val reason =
+            when (end) {
+                is AttemptEnd.NotSent -> end.reason
+                is AttemptEnd.Unanswered -> end.reason
+                is AttemptEnd.AnswerBroken -> end.reason
+                is AttemptEnd.CallerGone -> end.reason
+                is AttemptEnd.Answered -> error("an answered request has no fault")
+            }
+        val code = if (mayHaveRun) ResultCode.OUTCOME_UNKNOWN else ResultCode.NO_ENDPOINT
+        return code.toFault(reason)
+    }
+}
--- /dev/null
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RoutedRequest.kt
@@ -0,0 +1,79 @@
+/** The course of one request through admission and attempts. */
+package dev.bronzeshore.requests
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.Outcome
+import dev.bronzeshore.core.ResultCode
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+
+/** Runs one request; decisions run on [control], bytes move in the caller's context. */
+internal class RoutedRequest(
+    private val request: IncomingRequest,
+    private val responder: Responder,
+    private val control: CoroutineDispatcher,
+    private val proxy: RequestProxy,
+    private val decisions: RouteDecisions,
+) {
+    private val body = ReplayableBody(request.body, request.contentLength, keep = request.idempotent)
+    private val startBeforeMs = decisions.startBeforeMs(request)
+    private var waitedMs = 0L
+    private var attempts = 0
+
+    /** True once an attempt may have reached an endpoint; "not run" is then no longer a true answer. */
+    private var mayHaveRun = false
+
+    suspend fun run(): Either<Fault, RouteReport> {
+        while (true) {
+            attempts++
+            // Not cancellable, since a cancelled call would lose the slot that it was just given.
+            val admission =
+                withContext(NonCancellable + control) { decisions.admit(request, startBeforeMs, attempts) }
+                    .getOrElse { return checked(it).left() }
+            val next = attempt(admission)
+            if (next != null) return next.mapLeft { checked(it) }
+        }
+    }
+
+    /** Returns null if another attempt is to follow. */
+    private suspend fun attempt(admission: Admission): Either<Fault, RouteReport>? {
+        var held: Admission? = admission
+        try {
+            val queuedAtMs = decisions.clock()
+            val lease =
+                when (val decision = admission.decision.await()) {
+                    is AdmissionDecision.Refused -> return decision.fault.left()
+                    is AdmissionDecision.Start -> decision.lease
+                }
+            val sentAtMs = decisions.clock()
+            waitedMs += sentAtMs - queuedAtMs
+            if (sentAtMs > startBeforeMs) return ResultCode.DEADLINE_PASSED.toFault().left()
+            val end = proxy.attempt(lease.address, request, body, responder)
+            if (end !is AttemptEnd.NotSent) mayHaveRun = true
+            return withContext(NonCancellable + control) {
+                held = null
+                decisions.ended(admission, lease, sentAtMs, end)
+                resultOf(lease, end)
+            }
+        } finally {
+            held?.let { withContext(NonCancellable + control) { decisions.giveUp(it) } }
+        }
+    }
+
+    private fun resultOf(lease: SlotLease, end: AttemptEnd): Either<Fault, RouteReport>? = when {
+        end is AttemptEnd.Answered -> RouteReport(lease.endpointId, end.status, waitedMs, attempts).right()
+        decisions.mayRetry(request, body, end, attempts) -> null
+        else -> decisions.faultOf(end, mayHaveRun).left()
+    }
+
+    /** A refusal that follows an attempt which may have run does not say "not run". */
+    private fun checked(fault: Fault): Fault {
+        if (!mayHaveRun || fault.code.outcome != Outcome.NOT_RUN) return fault
+        return ResultCode.OUTCOME_UNKNOWN.toFault("then ${fault.code.number}: ${fault.message}")
+    }
+}
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/SlotHolder.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/SlotHolder.kt
@@ -3,54 +3,67 @@
 
 import dev.bronzeshore.core.CLOCK_DRIFT_MS
 
-/** Slots granted in one answer; [untilMs] is the deadline of all of them. */
+/** Slots granted in one answer. */
 internal class SlotGrant(val id: Long, val untilMs: Long, val slots: Map<SlotKey, Int>)
 
 /**
  * Grants that a process may still act upon, and its last report.
  *
- * An answer may be lost, so an earlier grant counts next to the later ones until the process confirms a later one or
- * the deadline plus drift has passed.
+ * An answer may be lost and a request may be late, so a grant counts until the process confirms a later one. Requests
+ * that started under it are then part of the report. A process that is not heard of loses everything at once, when the
+ * deadline of its last grant plus drift has passed.
  */
 internal class SlotHolder(val processId: String) {
     var demand: List<SlotDemand> = emptyList()
         private set
     private var lastSequence = Long.MIN_VALUE
     private var inUse: Map<SlotKey, Int> = emptyMap()
-    private var inUseUntilMs = Long.MIN_VALUE
+    private var heldUntilMs = Long.MIN_VALUE
     private val grants = ArrayDeque<SlotGrant>()
 
     /** Takes a report; returns false if a later one was taken before. */
-    fun report(request: AllotmentRequest, forgetAtMs: Long): Boolean {
+    fun report(request: AllotmentRequest, nowMs: Long): Boolean {
         if (request.sequence < lastSequence) return false
         lastSequence = request.sequence
         demand = request.demand
         inUse = request.inUse.associate { SlotKey(it.endpointId, it.plan) to it.slots }
-        inUseUntilMs = forgetAtMs
+        heldUntilMs = maxOf(heldUntilMs, nowMs + GRANT_MS)
         grants.removeAll { it.id < request.appliedGrantId }
         return true
     }
 
     fun add(grant: SlotGrant) {
         grants.addLast(grant)
-        inUseUntilMs = maxOf(inUseUntilMs, grant.untilMs)
+        heldUntilMs = maxOf(heldUntilMs, grant.untilMs)
+        if (grants.size > MAX_GRANTS) mergeOldest()
     }
 
-    /** Drops what no longer counts; returns true if nothing is left. */
-    fun expire(nowMs: Long): Boolean {
-        grants.removeAll { nowMs >= it.untilMs + CLOCK_DRIFT_MS }
-        if (nowMs >= inUseUntilMs + CLOCK_DRIFT_MS) inUse = emptyMap()
-        return grants.isEmpty() && nowMs >= inUseUntilMs + CLOCK_DRIFT_MS
-    }
+    /** True once nothing of the process counts any longer. */
+    fun isExpired(nowMs: Long): Boolean = nowMs >= heldUntilMs + CLOCK_DRIFT_MS
 
     fun inUse(key: SlotKey): Int = inUse[key] ?: 0
 
     /** The most slots that the process may have in use, by endpoint and plan. */
     fun counted(): Map<SlotKey, Int> {
         val counted = HashMap(inUse)
-        for (grant in grants) {
-            grant.slots.forEach { (key, slots) -> counted.merge(key, slots, ::maxOf) }
-        }
+        for (grant in grants) counted.raiseTo(grant.slots)
         return counted
     }
+
+    /** Bounds the memory for a process that asks and never confirms. */
+    private fun mergeOldest() {
+        val first = grants.removeFirst()
+        val second = grants.removeFirst()
+        val slots = HashMap(first.slots)
+        slots.raiseTo(second.slots)
+        grants.addFirst(SlotGrant(second.id, second.untilMs, slots))
+    }
+
+    private fun HashMap<SlotKey, Int>.raiseTo(slots: Map<SlotKey, Int>) {
+        slots.forEach { (key, count) -> merge(key, count, ::maxOf) }
+    }
+
+    private companion object {
+        const val MAX_GRANTS = 8
+    }
 }
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPool.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPool.kt
@@ -34,13 +34,13 @@
         for (entry in held.values.filter { it.dataCentre == dataCentre }) {
             val slots = granted[entry.key]?.slots ?: 0
             if (slots < entry.slots) shrunk = true
-            entry.slots = slots
+            entry.lane.setSlots(entry, slots)
             updateEntry(entry, nowMs)
         }
         for ((key, allotment) in granted) {
             val entry = entryOf(key, dataCentre, allotment)
-            entry.slots = allotment.slots
             entry.untilMs = allotment.untilMs
+            entry.lane.setSlots(entry, allotment.slots)
             updateEntry(entry, nowMs)
         }
         return shrunk
@@ -68,14 +68,23 @@
         updateEntry(lease.held, clock())
     }
 
-    /** Slots that are free for a plan's requests to a service. */
-    public fun freeSlots(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.freeSlots(clock()) ?: 0
+    /** Slots that are granted for a plan's requests to a service and not in use. */
+    public fun free(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.free ?: 0
 
     /** Requests of a plan in flight at a service's endpoints. */
     public fun inUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.inUse ?: 0
 
-    /** Most requests in flight at a time since the last call. */
-    public fun takePeakInUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.takePeak() ?: 0
+    /** Slots granted for a plan's requests to a service, in use or not. */
+    public fun granted(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.granted ?: 0
+
+    /** Requests of a plan in flight at a service's endpoints in one data centre. */
+    public fun inUse(dataCentre: String, service: String, plan: String): Int {
+        val lane = lanes[LaneKey(service, plan)] ?: return 0
+        return held.values.sumOf { if (it.lane === lane && it.dataCentre == dataCentre) it.inUse else 0 }
+    }
+
+    /** Most requests in flight at a time within about the last second. */
+    public fun peakInUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.peakInUse(clock()) ?: 0
 
     /** Replaces the endpoints that get no new request, whatever was granted. */
     public fun setLeaving(endpointIds: Set<String>) {
@@ -108,19 +117,18 @@
 
     /** Takes out an entry whose endpoint was replaced under the same id. */
     private fun retire(entry: HeldSlots) {
-        entry.slots = 0
+        entry.lane.setSlots(entry, 0)
         entry.lane.update(entry, clock())
     }
 
     private fun updateEntry(entry: HeldSlots, nowMs: Long) {
-        if (entry.key.endpointId in leaving) entry.slots = 0
+        if (entry.key.endpointId in leaving) entry.lane.setSlots(entry, 0)
         entry.lane.update(entry, nowMs)
         if (entry.slots == 0 && entry.inUse == 0) held.remove(entry.key, entry)
     }
 
     private fun changeInUse(entry: HeldSlots, change: Int) {
-        entry.inUse += change
-        entry.lane.changeInUse(change)
+        entry.lane.changeInUse(entry, change, clock())
         val atEndpoint = (inUseAt[entry.key.endpointId] ?: 0) + change
         if (atEndpoint == 0) inUseAt.remove(entry.key.endpointId) else inUseAt[entry.key.endpointId] = atEndpoint
     }
