--- a/bench/src/main/kotlin/dev/bronzeshore/bench/BaselinePlacer.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/BaselinePlacer.kt
@@ -41,6 +41,8 @@
 
     override fun setAllowances(allowances: List<Allowance>): Unit = Unit
 
+    override fun check(item: WorkItem): Either<Fault, Unit> = Unit.right()
+
     override fun submit(item: WorkItem): Either<Fault, Unit> {
         items[item.jobId] = item
         queue.addLast(Pending(item, ArrayDeque(item.pendingParts)))
--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobTracker.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobTracker.kt
@@ -108,7 +108,7 @@
 
     private fun reportStart(job: TrackedJob, part: TrackedPart, status: TaskStatus) {
         val waitMs = status.startedAtMs - job.record.acceptedAtMs
-        context.listeners.onPartStarted(part.workerId, job.kind.name, waitMs)
+        context.listeners.onPartStarted(part.workerId, job.jobId, job.kind.name, waitMs)
     }
 
     private fun succeed(job: TrackedJob, part: TrackedPart, status: TaskStatus) {
--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobsContext.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobsContext.kt
@@ -25,7 +25,7 @@
 public class JobListeners(
     public val onPartFailed: (workerId: String, jobId: String) -> Unit = { _, _ -> },
     public val onPartSucceeded: (workerId: String, jobId: String) -> Unit = { _, _ -> },
-    public val onPartStarted: (workerId: String, kind: String, waitMs: Long) -> Unit = { _, _, _ -> },
+    public val onPartStarted: (workerId: String, jobId: String, kind: String, waitMs: Long) -> Unit = { _, _, _, _ -> },
     public val onPreemption: (jobId: String, part: Int, workerId: String) -> Unit = { _, _, _ -> },
 )
 
--- a/jobs/src/test/kotlin/dev/bronzeshore/jobs/DataCentreJobsTest.kt
+++ b/jobs/src/test/kotlin/dev/bronzeshore/jobs/DataCentreJobsTest.kt
@@ -48,7 +48,11 @@
                 kindOf = { _, kind -> WorkKind(kind, if (kind == "gang") Policy.GANG else Policy.BATCH) },
             )
             val jobs = DataCentreJobs(context)
-            jobs.updateWorkers(workers.filter { it.vm.id !in hiddenWorkers }.map { WorkerCandidate(it.vm, accepting = true) })
+            jobs.updateWorkers(
+                workers.filter {
+                    it.vm.id !in hiddenWorkers
+                }.map { WorkerCandidate(it.vm, accepting = true) },
+            )
             scope.launch { jobs.run() }
             return jobs to scope
         }
@@ -66,7 +70,11 @@
         }
     }
 
-    private suspend fun TestScope.submitted(jobs: DataCentreJobs, submission: JobSubmission, key: String = "key"): String {
+    private suspend fun TestScope.submitted(
+        jobs: DataCentreJobs,
+        submission: JobSubmission,
+        key: String = "key",
+    ): String {
         advanceTimeBy(5_000)
         return jobs.submit("plan", key, submission).fold({ error(it.message) }, { it.jobId })
     }
@@ -123,7 +131,10 @@
             val jobId = submitted(first, oneMinuteJob)
             advanceTimeBy(3_000)
             firstScope.cancel()
-            if (isHidden) cell.hiddenWorkers = cell.workers.filter { it.startedTasks.isNotEmpty() }.map { it.vm.id }.toSet()
+            if (isHidden) {
+                cell.hiddenWorkers =
+                    cell.workers.filter { it.startedTasks.isNotEmpty() }.map { it.vm.id }.toSet()
+            }
             val (_, secondScope) = cell.takeOver()
             advanceTimeBy(100_000)
             assertEquals(JobState.SUCCEEDED, cell.record(jobId).state, "hidden: $isHidden")
--- a/jobs/src/test/kotlin/dev/bronzeshore/jobs/FakeWorker.kt
+++ b/jobs/src/test/kotlin/dev/bronzeshore/jobs/FakeWorker.kt
@@ -6,6 +6,7 @@
 import arrow.core.right
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.TaskId
 import dev.bronzeshore.core.TaskStart
@@ -15,7 +16,6 @@
 import dev.bronzeshore.core.VmRole
 import dev.bronzeshore.core.WorkerCommands
 import dev.bronzeshore.core.WorkerReport
-import dev.bronzeshore.core.Resources
 
 internal class FakeWorker(id: String, private val clock: ClockMs) {
     val vm = Vm(id, VmRole.WORKER, "ridge", "rack-1", id, capacity = Resources(4_000, 4_000))
@@ -54,8 +54,21 @@
     fun advance() = runs.values.forEach { run ->
         val workEndsAtMs = run.startedAtMs + run.start.runMs
         when {
-            clock() > run.leaseUntilMs && workEndsAtMs > run.leaseUntilMs -> end(run, TaskState.LEASE_EXPIRED, run.leaseUntilMs)
-            clock() >= workEndsAtMs -> end(run, if (run.start.payload == "fail") TaskState.FAILED else TaskState.SUCCEEDED)
+            clock() > run.leaseUntilMs && workEndsAtMs > run.leaseUntilMs -> end(
+                run,
+                TaskState.LEASE_EXPIRED,
+                run.leaseUntilMs,
+            )
+            clock() >= workEndsAtMs -> end(
+                run,
+                if (run.start.payload ==
+                    "fail"
+                ) {
+                    TaskState.FAILED
+                } else {
+                    TaskState.SUCCEEDED
+                },
+            )
         }
     }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/AllotmentLoop.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/AllotmentLoop.kt
@@ -2,6 +2,7 @@
 package dev.bronzeshore.server
 
 import dev.bronzeshore.core.PartLog
+import dev.bronzeshore.requests.Allotments
 import dev.bronzeshore.requests.RequestRouter
 
 private const val ALLOTMENT_TIMEOUT_MS = 800L
@@ -19,7 +20,15 @@
     suspend fun refresh(dataCentre: String) {
         val request = router.allotmentRequest(dataCentre, processId)
         gateway.callOwner(dataCentre, PeerCalls.allotments, request, ALLOTMENT_TIMEOUT_MS) { local.allot(it) }
-            .fold({ log.debug { "No slots from $dataCentre: ${it.message}" } }, { router.applyAllotments(dataCentre, it) })
+            .fold({ log.debug { "No slots from $dataCentre: ${it.message}" } }, { confirm(dataCentre, it) })
+    }
+
+    /** A smaller grant is confirmed at once, so that the owner can give the slots to another process. */
+    private suspend fun confirm(dataCentre: String, allotments: Allotments) {
+        if (!router.apply(dataCentre, allotments)) return
+        val request = router.allotmentRequest(dataCentre, processId)
+        gateway.callOwner(dataCentre, PeerCalls.allotments, request, ALLOTMENT_TIMEOUT_MS) { local.allot(it) }
+            .onRight { router.apply(dataCentre, it) }
     }
 
     /** Names of the data centres to ask. */
--- a/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
@@ -12,9 +12,11 @@
 import dev.bronzeshore.core.ProcessStatus
 import dev.bronzeshore.core.WorkKind
 import dev.bronzeshore.jobs.JobListeners
+import dev.bronzeshore.ownership.HandOver
 import dev.bronzeshore.ownership.Member
 import dev.bronzeshore.ownership.MemberDirectory
 import dev.bronzeshore.ownership.PROCESS_ROW_EVERY_MS
+import dev.bronzeshore.peering.CallHandler
 import dev.bronzeshore.peering.PeerClient
 import dev.bronzeshore.peering.PeerServer
 import dev.bronzeshore.peering.handlerOf
@@ -37,11 +39,13 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import java.util.UUID
+import kotlin.random.Random
 
 private const val CONFIGURATION_EVERY_MS = 1_000L
 private const val MEMBERS_EVERY_MS = 1_000L
 private const val VMS_EVERY_MS = 1_000L
 private const val ALLOTMENTS_EVERY_MS = 500L
+private const val ADMISSION_TICK_MS = 100L
 private const val PRUNE_EVERY_MS = 3_600_000L
 private const val PEER_TIMEOUT_MS = 800L
 private const val MS_PER_DAY = 86_400_000L
@@ -76,22 +80,23 @@
     val readiness = Readiness()
     private val metrics = ProcessMetrics()
     private val peerClient = PeerClient(selector, clock, trafficScope)
-    private val gateway = PeerGateway(self, clock, peerClient, { directory.members }) { dataCentres.ownerIdOf(it) }
+    private val gateway: PeerGateway = PeerGateway(self, clock, peerClient, { directory.members }, ::ownerIdOf)
     private var attempts = 0L
-    private val fleet = Fleet(clock, createVmListApi(platformClient, settings.platform.vmListUrl))
+    private val fleet: Fleet = Fleet(clock, createVmListApi(platformClient, settings.platform.vmListUrl))
     private val dataCentres: DataCentres = DataCentres(supervisorContext())
-    private val ownerService = OwnerService(dataCentres)
-    private val jobRouter = JobRouter(gateway, ownerService, table) { configuration.current }
+    private val ownerService: OwnerService = OwnerService(dataCentres)
+    private val jobRouter: JobRouter = JobRouter(gateway, ownerService, table) { configuration.current }
     private val proxy = RequestProxy(Dispatchers.IO, clock)
-    private val requestRouter = RequestRouter(control, clock, proxy)
-    private val allotmentLoop =
-        AllotmentLoop(gateway, ownerService, requestRouter, dataCentres, self.processId)
+    private val requestRouter: RequestRouter = RequestRouter(control, clock, proxy, Random.Default, askForSlots = { askForSlots() })
+    private val allotmentLoop: AllotmentLoop = AllotmentLoop(gateway, ownerService, requestRouter, dataCentres, self.processId)
     private val refresher = ConfigurationRefresher(table, configuration)
-    private val writer =
-        ConfigurationWriter(table, clock, ::newWriteId, onAccepted = ::publishConfiguration)
-    private val httpPorts = HttpPorts(settings, callerContext(), operatorContext())
+    private val writer: ConfigurationWriter =
+        ConfigurationWriter(table, clock, ::newWriteId, onAccepted = { publishConfiguration(it) })
+    private val httpPorts: HttpPorts = HttpPorts(settings, callerContext(), operatorContext())
 
-    private fun supervisorContext() = SupervisorContext(
+    private fun ownerIdOf(dataCentre: String): String? = dataCentres.ownerIdOf(dataCentre)
+
+    private fun supervisorContext(): SupervisorContext = SupervisorContext(
         self = self,
         clock = clock,
         table = table,
@@ -107,8 +112,8 @@
                 metrics.countPartFailure(workerId)
             },
             onPartSucceeded = { workerId, jobId -> fleet.partSucceeded(workerId, jobId) },
-            onPartStarted = { workerId, kind, waitMs ->
-                fleet.partStarted(workerId)
+            onPartStarted = { workerId, jobId, kind, waitMs ->
+                fleet.partStarted(workerId, jobId)
                 metrics.observeWait(kind, waitMs)
             },
             onPreemption = { _, _, _ -> metrics.countPreemption() },
@@ -116,10 +121,9 @@
         nextAttempt = { attempts++ },
     )
 
-    private fun callerContext() =
-        CallerContext(clock, control, tokens, jobRouter, requestRouter, metrics, readiness)
+    private fun callerContext(): CallerContext = CallerContext(clock, control, tokens, jobRouter, requestRouter, metrics, readiness)
 
-    private fun operatorContext() = OperatorContext(
+    private fun operatorContext(): OperatorContext = OperatorContext(
         clock = clock,
         control = control,
         tokenSha256 = settings.operatorTokenSha256,
@@ -149,9 +153,8 @@
         controlScope.repeatEvery(MEMBERS_EVERY_MS) { directory.refresh() }
         controlScope.repeatEvery(CONFIGURATION_EVERY_MS) { refreshConfiguration() }
         controlScope.repeatEvery(VMS_EVERY_MS) { refreshFleet() }
-        controlScope.repeatEvery(ALLOTMENTS_EVERY_MS) {
-            allotmentLoop.targets().forEach { controlScope.launch { allotmentLoop.refresh(it) } }
-        }
+        controlScope.repeatEvery(ALLOTMENTS_EVERY_MS) { askForSlots() }
+        controlScope.repeatEvery(ADMISSION_TICK_MS) { requestRouter.tick() }
         val retention = AuditRetention(settings.auditRetentionDays * MS_PER_DAY)
         controlScope.repeatEvery(PRUNE_EVERY_MS) { AuditPruner(table, clock, retention, ::newWriteId).prune() }
     }
@@ -165,12 +168,17 @@
         }?.let(configuration::offer)
     }
 
+    private fun askForSlots(): Unit = allotmentLoop.targets().forEach { dataCentre ->
+        controlScope.launch { allotmentLoop.refresh(dataCentre) }
+    }
+
     private suspend fun refreshFleet() {
         fleet.refresh()
+        requestRouter.retainEndpoints(fleet.endpointIds())
         applyFleet()
     }
 
-    private fun applyFleet() {
+    private suspend fun applyFleet() {
         dataCentres.update(viewsByDataCentre(fleet.vms(), configuration.current, fleet::isQuarantined))
         requestRouter.setLeaving(fleet.leavingEndpoints())
     }
@@ -178,9 +186,11 @@
     private fun onConfiguration(current: Configuration) {
         tokens.replace(current)
         fleet.setMarks(current.marks)
-        requestRouter.setWeights(current)
-        applyFleet()
-        readiness.isConfigured = true
+        controlScope.launch {
+            requestRouter.configure(current.plans)
+            applyFleet()
+            readiness.isConfigured = true
+        }
     }
 
     private fun publishConfiguration(accepted: Configuration) {
@@ -190,7 +200,7 @@
         }
     }
 
-    private fun peerHandlers() = listOf(
+    private fun peerHandlers(): List<CallHandler> = listOf(
         handlerOf(PeerCalls.promise) { withContext(control) { ownerService.promise(it) } },
         handlerOf(PeerCalls.handOver) { withContext(control) { ownerService.handOver(it) } },
         handlerOf(PeerCalls.allotments) { withContext(control) { ownerService.allot(it) } },
@@ -207,7 +217,7 @@
         },
     )
 
-    private fun status() = ProcessStatus(
+    private fun status(): ProcessStatus = ProcessStatus(
         processId = self.processId,
         dataCentre = self.dataCentre,
         configurationVersion = configuration.current.version,
@@ -228,6 +238,7 @@
             }
         }
         httpPorts.awaitBalancer()
+        requestRouter.stopAccepting()
         requestRouter.awaitInFlight(deadlineMs)
         httpPorts.stop()
         controlScope.cancel()
@@ -237,9 +248,9 @@
         log.info { "Stopped." }
     }
 
-    private fun newWriteId() = UUID.randomUUID().toString()
+    private fun newWriteId(): String = UUID.randomUUID().toString()
 
-    private suspend fun notifyNextOwner(message: dev.bronzeshore.ownership.HandOver) {
+    private suspend fun notifyNextOwner(message: HandOver) {
         val next = directory.members.find { it.processId == message.nextOwnerId } ?: return
         gateway.call(next, PeerCalls.handOver, message, PEER_TIMEOUT_MS)
     }
--- a/server/src/main/kotlin/dev/bronzeshore/server/DataCentreSupervisor.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/DataCentreSupervisor.kt
@@ -84,8 +84,7 @@
             if (context.clock() > tenure.previousOverAtMs + CLOCK_DRIFT_MS) tenure.ledger.right() else notOwner().left()
         }
 
-    private fun current(): Either<Fault, Tenure> =
-        tenure?.takeIf { ownership.mayAct() }?.right() ?: notOwner().left()
+    private fun current(): Either<Fault, Tenure> = tenure?.takeIf { ownership.mayAct() }?.right() ?: notOwner().left()
 
     private fun notOwner() = Fault(ResultCode.NOT_OWNER, "This process does not own data centre $dataCentre.")
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/Fleet.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/Fleet.kt
@@ -43,6 +43,10 @@
     /** VMs that may still run something; those that take no new work are `LEAVING`. */
     fun vms(): List<Vm> = view.members().filter { it.presence != Presence.GONE }.map { it.vm }
 
+    fun endpointIds(): Set<String> = view.members().filter {
+        it.vm.role == VmRole.ENDPOINT
+    }.mapTo(HashSet()) { it.vm.id }
+
     fun leavingEndpoints(): Set<String> = view.members()
         .filter { it.vm.role == VmRole.ENDPOINT && it.vm.state == VmState.LEAVING }.mapTo(HashSet()) { it.vm.id }
 
@@ -51,7 +55,7 @@
 
     fun isQuarantined(workerId: String): Boolean = quarantineOf(workerId)?.accepts(workerId) == false
 
-    fun partStarted(workerId: String) = quarantineOf(workerId)?.recordStart(workerId)
+    fun partStarted(workerId: String, jobId: String) = quarantineOf(workerId)?.recordStart(workerId, jobId)
 
     fun partFailed(workerId: String, jobId: String) = quarantineOf(workerId)?.recordFailure(workerId, jobId)
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/HttpAnswers.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/HttpAnswers.kt
@@ -18,7 +18,7 @@
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import io.ktor.utils.io.readRemaining
-import kotlinx.io.readString
+import kotlinx.io.readByteArray
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 
@@ -40,7 +40,7 @@
 
 internal suspend fun ApplicationCall.respondFault(fault: Fault, nowMs: Long) {
     fault.retryAtMs?.let { at ->
-        val seconds = maxOf(1, Math.ceilDiv(at - nowMs, MS_PER_SECOND))
+        val seconds = maxOf(1, (at - nowMs + MS_PER_SECOND - 1) / MS_PER_SECOND)
         response.header(HttpHeaders.RetryAfter, seconds.toString())
     }
     val body = FaultBody(
@@ -73,12 +73,11 @@
     readText().flatMap { text -> reader.read("body", text).mapLeft { it.head } }
 
 private suspend fun ApplicationCall.readText(): Either<Fault, String> {
-    val bytes = receiveChannel().readRemaining(MAX_JSON_BODY_BYTES + 1)
-    return if (bytes.remaining > MAX_JSON_BODY_BYTES) {
-        bytes.close()
+    val bytes = receiveChannel().readRemaining(MAX_JSON_BODY_BYTES + 1).readByteArray()
+    return if (bytes.size > MAX_JSON_BODY_BYTES) {
         Fault(ResultCode.BODY_TOO_LARGE, "The body is too large.", "body", "at most $MAX_JSON_BODY_BYTES bytes").left()
     } else {
-        bytes.readString().right()
+        bytes.decodeToString().right()
     }
 }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/JobRouter.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/JobRouter.kt
@@ -57,7 +57,9 @@
             JobView(record).right()
         } else {
             val query = JobQuery(record.dataCentre, jobId)
-            val live = gateway.callOwner(record.dataCentre, PeerCalls.jobQuery, query, QUERY_TIMEOUT_MS) { local.status(it) }
+            val live = gateway.callOwner(record.dataCentre, PeerCalls.jobQuery, query, QUERY_TIMEOUT_MS) {
+                local.status(it)
+            }
             live.fold({ reread(jobId, record) }, { it }).right()
         }
     }
@@ -75,12 +77,13 @@
     }
 
     /** Open jobs of all data centres that answer. */
-    suspend fun list(plan: String?, limit: Int): List<JobView> = configuration().allowances.map { it.dataCentre }.distinct()
-        .flatMap { dataCentre ->
-            val query = JobListQuery(dataCentre, plan, limit)
-            gateway.callOwner(dataCentre, PeerCalls.jobList, query, QUERY_TIMEOUT_MS) { local.list(it) }
-                .fold({ emptyList() }, { it.jobs })
-        }.take(limit)
+    suspend fun list(plan: String?, limit: Int): List<JobView> =
+        configuration().allowances.map { it.dataCentre }.distinct()
+            .flatMap { dataCentre ->
+                val query = JobListQuery(dataCentre, plan, limit)
+                gateway.callOwner(dataCentre, PeerCalls.jobList, query, QUERY_TIMEOUT_MS) { local.list(it) }
+                    .fold({ emptyList() }, { it.jobs })
+            }.take(limit)
 
     private suspend fun row(jobId: String, plan: String?): Either<Fault, JobRecord> =
         table.read(JobRows.jobKey(jobId)).flatMap { row ->
--- a/server/src/main/kotlin/dev/bronzeshore/server/JobRoutes.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/JobRoutes.kt
@@ -44,7 +44,9 @@
         call.respondEither(answer, JobView.serializer(), process.clock())
     }
     get("/v1/jobs/{id}/result") {
-        val answer = process.jobCall(call) { plan, id -> process.jobs.view(id, plan.name) }.flatMap { resultOf(it.record) }
+        val answer = process.jobCall(call) { plan, id ->
+            process.jobs.view(id, plan.name)
+        }.flatMap { resultOf(it.record) }
         call.respondEither(answer, ListSerializer(PartResult.serializer()), process.clock())
     }
 }
@@ -60,7 +62,12 @@
     val key = request.headers[IDEMPOTENCY_KEY_HEADER].orEmpty()
     return if (key.isBlank() || key.length > MAX_KEY_CHARACTERS) {
         val accepted = "1 to $MAX_KEY_CHARACTERS characters"
-        Fault(ResultCode.MISSING_FIELD, "The idempotency key is missing or too long.", IDEMPOTENCY_KEY_HEADER, accepted).left()
+        Fault(
+            ResultCode.MISSING_FIELD,
+            "The idempotency key is missing or too long.",
+            IDEMPOTENCY_KEY_HEADER,
+            accepted,
+        ).left()
     } else {
         key.right()
     }
--- a/server/src/main/kotlin/dev/bronzeshore/server/OperatorRoutes.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/OperatorRoutes.kt
@@ -38,7 +38,9 @@
     configurationRoutes(process)
     vmRoutes(process)
     operatorJobRoutes(process)
-    get("/v1/status") { process.answer(call, ProcessStatus.serializer()) { process.onControl { process.status() }.right() } }
+    get("/v1/status") {
+        process.answer(call, ProcessStatus.serializer()) { process.onControl { process.status() }.right() }
+    }
     get("/v1/audit") {
         process.answer(call, ListSerializer(AuditEntry.serializer())) {
             call.limit().flatMap { limit -> process.audit.read(call.parameters["after"].orEmpty(), limit) }
@@ -59,10 +61,14 @@
 }
 
 private fun Route.vmRoutes(process: OperatorContext) {
-    get("/v1/vms") { process.answer(call, ListSerializer(VmStatus.serializer())) { process.onControl { process.vms() }.right() } }
+    get("/v1/vms") {
+        process.answer(call, ListSerializer(VmStatus.serializer())) { process.onControl { process.vms() }.right() }
+    }
     post("/v1/vms/{id}/mark") {
         process.answer(call, ApplyAnswer.serializer()) {
-            call.readBody(markReader).flatMap { request -> process.onControl { process.writer.mark(call.pathId(), request) } }
+            call.readBody(markReader).flatMap { request ->
+                process.onControl { process.writer.mark(call.pathId(), request) }
+            }
         }
     }
 }
@@ -84,13 +90,19 @@
         }
     }
     get("/v1/jobs/{id}") {
-        process.answer(call, JobView.serializer()) { process.onControl { process.jobs.view(call.pathId(), plan = null) } }
+        process.answer(call, JobView.serializer()) {
+            process.onControl { process.jobs.view(call.pathId(), plan = null) }
+        }
     }
     delete("/v1/jobs/{id}") {
-        process.answer(call, JobView.serializer()) { process.onControl { process.jobs.cancel(call.pathId(), plan = null) } }
+        process.answer(call, JobView.serializer()) {
+            process.onControl { process.jobs.cancel(call.pathId(), plan = null) }
+        }
     }
     get("/v1/jobs/{id}/why") {
-        process.answer(call, Why.serializer()) { process.onControl { process.jobs.view(call.pathId(), plan = null) }.map(::whyOf) }
+        process.answer(call, Why.serializer()) {
+            process.onControl { process.jobs.view(call.pathId(), plan = null) }.map(::whyOf)
+        }
     }
 }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/OwnerService.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/OwnerService.kt
@@ -21,11 +21,10 @@
     fun promise(request: PromiseRequest): Either<Fault, Promise> =
         supervisors.find(request.dataCentre).map { it.ownership.onPromiseRequest(request) }
 
-    suspend fun handOver(message: HandOver): Either<Fault, Acknowledged> =
-        supervisors.find(message.dataCentre).map {
-            it.ownership.onHandOver(message)
-            Acknowledged()
-        }
+    suspend fun handOver(message: HandOver): Either<Fault, Acknowledged> = supervisors.find(message.dataCentre).map {
+        it.ownership.onHandOver(message)
+        Acknowledged()
+    }
 
     fun allot(request: AllotmentRequest): Either<Fault, Allotments> =
         supervisors.find(request.dataCentre).flatMap { it.ledger }.map { it.answer(request) }
@@ -34,17 +33,17 @@
         supervisors.find(forward.dataCentre).flatMap { it.jobs }
             .flatMap { it.submit(forward.plan, forward.idempotencyKey, forward.submission) }
 
-    fun status(query: JobQuery): Either<Fault, JobView> =
-        supervisors.find(query.dataCentre).flatMap { it.jobs }
-            .flatMap { jobs -> jobs.status(query.jobId)?.toView()?.right() ?: notOpen(query).left() }
+    fun status(query: JobQuery): Either<Fault, JobView> = supervisors.find(query.dataCentre).flatMap { it.jobs }
+        .flatMap { jobs -> jobs.status(query.jobId)?.toView()?.right() ?: notOpen(query).left() }
 
-    fun cancel(query: JobQuery): Either<Fault, JobView> =
-        supervisors.find(query.dataCentre).flatMap { it.jobs }
-            .flatMap { jobs -> jobs.cancel(query.jobId)?.toView()?.right() ?: notOpen(query).left() }
+    fun cancel(query: JobQuery): Either<Fault, JobView> = supervisors.find(query.dataCentre).flatMap { it.jobs }
+        .flatMap { jobs -> jobs.cancel(query.jobId)?.toView()?.right() ?: notOpen(query).left() }
 
     fun list(query: JobListQuery): Either<Fault, JobList> =
         supervisors.find(query.dataCentre).flatMap { it.jobs }.map { jobs ->
-            val open = jobs.list(Int.MAX_VALUE).asSequence().filter { query.plan == null || it.record.plan == query.plan }
+            val open = jobs.list(Int.MAX_VALUE).asSequence().filter {
+                query.plan == null || it.record.plan == query.plan
+            }
             JobList(open.take(query.limit).map { it.toView() }.toList())
         }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/ProcessMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/ProcessMetrics.kt
@@ -11,7 +11,8 @@
 import java.io.ByteArrayOutputStream
 
 private const val MS_PER_SECOND = 1_000.0
-private val WAIT_BUCKETS_SECONDS = doubleArrayOf(0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 7.7, 30.0, 300.0, 3_600.0)
+private val WAIT_BUCKETS_SECONDS =
+    doubleArrayOf(0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 7.7, 30.0, 300.0, 3_600.0)
 
 /** Thread-safe. */
 internal class ProcessMetrics {
--- a/server/src/main/kotlin/dev/bronzeshore/server/RequestRoutes.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/RequestRoutes.kt
@@ -61,13 +61,13 @@
 
 private fun CallerContext.countRequest(outcome: Either<Fault, RouteReport>, call: ApplicationCall) {
     count(outcome)
-    outcome.onRight { metrics.observeWait(call.request.headers[KIND_HEADER].orEmpty(), it.waitMs) }
+    outcome.onRight { metrics.observeWait(call.request.headers[KIND_HEADER].orEmpty(), it.waitedMs) }
 }
 
 /** Ends an exchange whose answer broke off. */
 internal class AnswerBrokenException(message: String) : Exception(message)
 
-private fun incomingRequest(call: ApplicationCall, plan: Plan): Either<Fault, IncomingRequest> = either {
+private suspend fun incomingRequest(call: ApplicationCall, plan: Plan): Either<Fault, IncomingRequest> = either {
     val service = call.parameters["service"].orEmpty()
     val kind = kindOf(call, plan, service).bind()
     IncomingRequest(
@@ -89,10 +89,20 @@
     val offered = plan.kinds.filter { it.service == service }.map { it.name }
     val name = call.request.headers[KIND_HEADER] ?: offered.singleOrNull()
     return when {
-        name == null -> Fault(ResultCode.MISSING_FIELD, "The kind is missing.", KIND_HEADER, offered.joinToString()).left()
+        name == null -> Fault(
+            ResultCode.MISSING_FIELD,
+            "The kind is missing.",
+            KIND_HEADER,
+            offered.joinToString(),
+        ).left()
 
         name !in offered ->
-            Fault(ResultCode.UNKNOWN_KIND, "Kind $name is not one of service $service.", KIND_HEADER, offered.joinToString()).left()
+            Fault(
+                ResultCode.UNKNOWN_KIND,
+                "Kind $name is not one of service $service.",
+                KIND_HEADER,
+                offered.joinToString(),
+            ).left()
 
         else -> name.right()
     }
@@ -113,13 +123,16 @@
 private fun startBeforeOf(call: ApplicationCall): Either<Fault, Long?> {
     val text = call.request.headers[START_BEFORE_HEADER] ?: return null.right()
     return text.toLongOrNull()?.takeIf { it > 0 }?.right()
-        ?: Fault(ResultCode.INVALID_DEADLINE, "\"$text\" is not a time.", START_BEFORE_HEADER, "milliseconds since 1970").left()
+        ?: Fault(
+            ResultCode.INVALID_DEADLINE,
+            "\"$text\" is not a time.",
+            START_BEFORE_HEADER,
+            "milliseconds since 1970",
+        ).left()
 }
 
-private class StreamedAnswer(
-    private val head: AnswerHead,
-    private val writeBody: suspend (ByteWriteChannel) -> Unit,
-) : OutgoingContent.WriteChannelContent() {
+private class StreamedAnswer(private val head: AnswerHead, private val writeBody: suspend (ByteWriteChannel) -> Unit) :
+    OutgoingContent.WriteChannelContent() {
     override val status: HttpStatusCode = HttpStatusCode.fromValue(head.status)
     override val contentLength: Long? = head.contentLength
     override val contentType: ContentType? = null
