Return shares faster, respect plan limits when keeping room, pack by size class

Cause: a kind below its share got one reservation at a time, nothing kept a plan's own limit free for its other kinds, and arrivals recomputed all shares.

--- a/placement/src/main/kotlin/dev/bronzeshore/placement/FleetCapacity.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/FleetCapacity.kt
@@ -10,9 +10,31 @@
     var total: Resources = Resources.NONE
         private set
 
+    private var workerCount: Int = 0
+
+    /**
+     * Logarithmic class of [size] in the dimension where it is largest, two classes for each doubling.
+     *
+     * It is relative to the average worker, so that processors and memory can be compared.
+     */
+    fun sizeClassOf(size: Resources): Int {
+        if (workerCount == 0) return 0
+        val part = maxOf(
+            partOf(size.processorsMillicores, total.processorsMillicores),
+            partOf(size.memoryBytes, total.memoryBytes),
+            partOf(size.accelerators, total.accelerators),
+        )
+        val magnitude = Long.SIZE_BITS - part.countLeadingZeroBits()
+        val isUpperHalf = magnitude >= 2 && (part shr (magnitude - 2)) and 1L == 1L
+        return magnitude * 2 + if (isUpperHalf) 1 else 0
+    }
+
+    private fun partOf(size: Long, total: Long): Long = if (total == 0L) 0 else size * PARTS / (total / workerCount + 1)
+
     fun change(capacity: Resources, workers: Int) {
         if (capacity == Resources.NONE) return
         total += capacity * workers
+        workerCount += workers
         workersByCapacity.merge(capacity, workers) { old, added -> (old + added).takeIf { it > 0 } }
     }
 
@@ -23,6 +45,11 @@
         for ((capacity, workers) in workersByCapacity) fitting += size.timesIn(capacity) * workers
         return fitting >= parts
     }
+
+    private companion object {
+        /** Fine enough to tell a hundredth of a core from a tenth, and small enough to multiply bytes by it. */
+        const val PARTS = 65_536L
+    }
 }
 
 /** How many times this size fits into [room]. */
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/JobBook.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/JobBook.kt
@@ -17,9 +17,9 @@
     fun planOf(name: String): PlanAccount = plans.getOrPut(name) { PlanAccount(name) }
 
     fun jobOf(item: WorkItem): JobEntry = jobs.getOrPut(item.jobId) {
-        val kindQueue = planOf(item.plan).kindQueue(item.kind)
-        shares.changed()
-        JobEntry(item, kindQueue, nextSequence++)
+        val plan = planOf(item.plan)
+        if (plan.kinds[item.kind.name]?.kind?.weight != item.kind.weight) shares.changed()
+        JobEntry(item, plan.kindQueue(item.kind), nextSequence++)
     }
 
     fun enqueue(job: JobEntry) {
@@ -44,7 +44,7 @@
         job.kindQueue.running.add(running)
         if (job.isSpread) job.partsByRack.merge(room.rack, 1, Int::plus)
         workers.charge(running)
-        shares.use(job.kindQueue, job.item.size)
+        shares.use(job, job.item.size)
         countActive(job.kindQueue)
         return running
     }
@@ -56,7 +56,7 @@
         job.kindQueue.running.remove(running)
         if (job.isSpread) job.partsByRack.merge(running.worker.rack, -1, Int::plus)
         workers.release(running)
-        shares.use(job.kindQueue, Resources.NONE - job.item.size)
+        shares.use(job, Resources.NONE - job.item.size)
         countActive(job.kindQueue)
     }
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/KindQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/KindQueue.kt
@@ -11,6 +11,9 @@
     /** Queues that may be tried, first in order first. */
     val ready: TreeSet<ShapeQueue> = TreeSet()
 
+    /** Queues that wait for room or for the plan's limit, first in order first. */
+    val waiting: TreeSet<ShapeQueue> = TreeSet()
+
     /** Declared sizes of the running parts. */
     var used: Resources = Resources.NONE
 
@@ -21,18 +24,18 @@
     /** Running parts in order of their start. */
     val running: LinkedHashSet<RunningPart> = LinkedHashSet()
 
+    /** Declared sizes of the running urgent parts. */
+    var urgentUsed: Resources = Resources.NONE
+
     /** Declared sizes that reservations keep for this kind. */
     var reserved: Resources = Resources.NONE
 
     /** Whether the shares of the others already count this kind as active. */
     var countedActive: Boolean = false
 
-    /** Reservations for single parts of this kind that are not pressing; there is one at a time. */
+    /** Number of reservations for single parts of this kind that are not pressing. */
     var shareReservations: Int = 0
 
-    val hasShareReservation: Boolean
-        get() = shareReservations > 0
-
     val weight: Long
         get() = kind.weight.coerceAtLeast(1).toLong()
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
@@ -27,14 +27,14 @@
     private val learnUsage: Boolean = true,
 ) : WorkPlacer {
     private val workers = WorkerTable()
-    private val queue = WorkQueue()
+    private val queue = WorkQueue { workers.sizeClassOf(it) }
     private val book = JobBook(clock, workers, queue)
-    private val reservations = ReservationBook(workers)
+    private val reservations = ReservationBook(workers, queue)
     private val checker = JobChecker(clock, workers, book, reservations)
     private val preemptions = PreemptionPlanner(clock, book.shares, mayStop)
     private val planner = ReservationPlanner(clock, workers, book.shares, reservations, preemptions)
     private val round = RoundPlanner(clock, workers, queue, book, reservations, planner)
-    private val review = BlockedWorkReview(clock, book, reservations, planner, preemptions, round)
+    private val review = BlockedWorkReview(clock, queue, book.shares, reservations, planner, round)
     private val usage = UsageTracker(workers, preemptions)
 
     override fun putWorker(worker: PlacementWorker) {
@@ -100,6 +100,7 @@
         preemptions.ended(running)
         book.release(running)
         queue.limitFreed(job.kindQueue.plan)
+        reservations.headroomFreed(job.kindQueue.plan)
         if (requeue) {
             book.dequeue(job)
             job.pending.add(part)
@@ -117,7 +118,8 @@
         val refusals = ArrayList<Refusal>()
         checker.refuseEnded(refusals)
         book.shares.refresh()
-        review.runIfDue()
+        preemptions.repeatLost()
+        review.run()
         val placements = round.placeUpTo(limit)
         return Decisions(placements, preemptions.drainOrders(), refusals)
     }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PlanAccount.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PlanAccount.kt
@@ -12,9 +12,19 @@
     /** Declared sizes of all running parts; limits count declared sizes, never estimates. */
     var used: Resources = Resources.NONE
 
-    /** Declared sizes that reservations keep for this plan. */
+    /**
+     * Declared sizes that reservations keep for this plan.
+     *
+     * Together with [used] this may exceed the limit: then other work of the plan waits until the reserved work fits
+     * under the limit, because small work would otherwise keep the plan at its limit for ever.
+     */
     var reserved: Resources = Resources.NONE
 
+    /** Declared sizes of parts that were told to leave. */
+    var stopping: Resources = Resources.NONE
+
+    val reservations: LinkedHashSet<Reservation> = LinkedHashSet()
+
     /** Largest part of the data centre in use in any dimension, in millionths. */
     var dominantMicros: Long = 0
 
@@ -38,7 +48,13 @@
 
     fun isActive(): Boolean = kinds.values.any { it.isActive }
 
+    /** True if the limit allows [size] more. */
     fun mayAdd(size: Resources): Boolean = limit?.let { (used + size).fitsIn(it) } ?: false
 
-    fun headroom(): Resources = limit?.let { it - used } ?: Resources.NONE
+    /** True if the limit allows [size] more next to what reservations keep, of which [own] is kept for the asker. */
+    fun mayAddBeside(size: Resources, own: Resources): Boolean =
+        limit?.let { (used + reserved - own + size).fitsIn(it) } ?: false
+
+    /** What the limit leaves next to what reservations keep. */
+    fun headroom(): Resources = limit?.let { it - used - reserved } ?: Resources.NONE
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PreemptionPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PreemptionPlanner.kt
@@ -39,10 +39,25 @@
         return null
     }
 
+    /** Returns parts of [plan] that have to leave so that its limit allows [size] more, or null if none help. */
+    fun chooseOfPlan(plan: PlanAccount, size: Resources, mayLeave: (RunningPart) -> Boolean): List<RunningPart>? {
+        val limit = plan.limit ?: return null
+        var used = plan.used - plan.stopping + size
+        if (used.fitsIn(limit)) return emptyList()
+        val chosen = ArrayList<RunningPart>()
+        val newest = plan.kinds.values.flatMap { it.running.toList().takeLast(MAX_OF_KIND) }
+        for (part in newest.filter { mayDisturb(it) && mayLeave(it) }.sortedWith(LEAST_LOSS_FIRST)) {
+            chosen.add(part)
+            used -= part.job.item.size
+            if (used.fitsIn(limit)) return chosen
+        }
+        return null
+    }
+
     /** Rule for urgent and pressing work: less urgent parts leave, but no part of a kind that is below its share. */
     fun forPressing(claimant: JobEntry): (RunningPart) -> Boolean {
         val nowMs = clock()
-        val entitled = shares.isEntitled(claimant.kindQueue)
+        val entitled = shares.isEntitledToUrgent(claimant.kindQueue, claimant.item.size)
         return { victim ->
             !victim.job.isPressing(nowMs) && (entitled || !victim.job.kindQueue.isUnderShare) && hasTimeToReturn(victim)
         }
@@ -58,7 +73,7 @@
     fun forShare(claimant: JobEntry): (RunningPart) -> Boolean = { victim ->
         victim.job.kindQueue !== claimant.kindQueue &&
             victim.job.item.kind.policy == Policy.BATCH &&
-            (victim.mustEndByMs != null || shares.borrows(victim.job.kindQueue, victim.job.item.size))
+            (victim.mustEndByMs != null || shares.isLent(victim))
     }
 
     /** Tells [victims] to leave. */
@@ -68,6 +83,7 @@
             if (victim.isStopping) continue
             victim.job.budget.record(victim.part, nowMs)
             victim.worker.stopping += victim.charge
+            victim.job.kindQueue.plan.stopping += victim.job.item.size
             emit(victim, nowMs, TaskAction.CHECKPOINT)
         }
     }
@@ -84,7 +100,7 @@
     }
 
     fun ended(running: RunningPart) {
-        stopping.remove(running)
+        if (stopping.remove(running)) running.job.kindQueue.plan.stopping -= running.job.item.size
     }
 
     fun drainOrders(): List<Preemption> {
@@ -94,6 +110,12 @@
         return drained
     }
 
+    /** Workers where [kinds] have their newest parts. */
+    fun roomsOfNewest(kinds: Collection<KindQueue>): List<WorkerRoom> = kinds
+        .flatMap { it.running.toList().takeLast(MAX_NEWEST) }
+        .map { it.worker }
+        .distinct()
+
     /** Room on [room] that no reservation keeps, once all parts that are leaving have left. */
     fun availableOn(room: WorkerRoom): Resources = room.free + room.stopping
 
@@ -135,6 +157,11 @@
         /** A checkpoint takes about 2 s; a second one after 3 s still meets the 7.7 s limit for urgent work. */
         private const val REPEAT_AFTER_MS = 3_000L
 
+        private const val MAX_NEWEST = 8
+
+        /** Parts of one kind examined when a plan is at its limit. */
+        private const val MAX_OF_KIND = 64
+
         /** Backfill first, important work last, then the least urgent, then what has run for the shortest time. */
         private val LEAST_LOSS_FIRST: Comparator<RunningPart> =
             compareBy<RunningPart> { it.mustEndByMs == null }
@@ -147,12 +174,14 @@
             when {
                 victim.job.isImportant -> IMPORTANT_COST
                 victim.job.item.urgency == Urgency.PATIENT -> PATIENT_COST
+                victim.job.item.urgency == Urgency.URGENT -> URGENT_COST
                 else -> NORMAL_COST
             }
         }
 
         private const val PATIENT_COST = 2
         private const val NORMAL_COST = 5
+        private const val URGENT_COST = 100
         private const val IMPORTANT_COST = 1_000
     }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/Reservation.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/Reservation.kt
@@ -10,12 +10,16 @@
  * Room kept for parts of one job: for all parts of a gang, otherwise for one part.
  *
  * [startAtMs] is the stored deadline at which the room is expected to be free; until then backfill may use the room.
+ * From [nextCheckMs] on, parts that are still in the way are told to leave.
  */
-internal class Reservation(val job: JobEntry, val purpose: Purpose, val startAtMs: Long) {
+internal class Reservation(
+    val job: JobEntry,
+    val purpose: Purpose,
+    val startAtMs: Long,
+    val sequence: Long,
+    var nextCheckMs: Long,
+) {
     val holds: ArrayList<Hold> = ArrayList()
-
-    /** When parts that are still in the way are told to leave. */
-    var nextOrderMs: Long = startAtMs
 }
 
 /** Room kept for [parts] parts on one worker. */
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationBook.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationBook.kt
@@ -2,16 +2,19 @@
 package dev.bronzeshore.placement
 
 import dev.bronzeshore.core.Resources
+import java.util.TreeSet
 
-internal class ReservationBook(private val workers: WorkerTable) {
-    private val all: LinkedHashSet<Reservation> = LinkedHashSet()
+internal class ReservationBook(private val workers: WorkerTable, private val queue: WorkQueue) {
+    private val byCheck: TreeSet<Reservation> =
+        TreeSet(compareBy<Reservation> { it.nextCheckMs }.thenBy { it.sequence })
+    private var nextSequence = 0L
 
-    fun snapshot(): List<Reservation> = all.toList()
-
-    fun open(job: JobEntry, purpose: Purpose, startAtMs: Long): Reservation {
-        val reservation = Reservation(job, purpose, startAtMs)
-        all.add(reservation)
+    /** Opens a reservation without any room; see [keep]. */
+    fun open(job: JobEntry, purpose: Purpose, startAtMs: Long, nextCheckMs: Long = startAtMs): Reservation {
+        val reservation = Reservation(job, purpose, startAtMs, nextSequence++, nextCheckMs)
+        byCheck.add(reservation)
         job.reservations.add(reservation)
+        job.kindQueue.plan.reservations.add(reservation)
         if (job.isGang) job.kindQueue.plan.reservedGang = job
         if (purpose == Purpose.SHARE) job.kindQueue.shareReservations++
         return reservation
@@ -28,9 +31,10 @@
     }
 
     fun drop(reservation: Reservation) {
-        if (!all.remove(reservation)) return
+        if (!byCheck.remove(reservation)) return
         val job = reservation.job
         job.reservations.remove(reservation)
+        job.kindQueue.plan.reservations.remove(reservation)
         if (job.kindQueue.plan.reservedGang === job) job.kindQueue.plan.reservedGang = null
         if (reservation.purpose == Purpose.SHARE) job.kindQueue.shareReservations--
         for (hold in reservation.holds) {
@@ -40,6 +44,27 @@
             hold.room.held -= hold.size
             workers.refresh(hold.room)
         }
+        queue.limitFreed(job.kindQueue.plan)
+    }
+
+    /** Reservations whose next check has come. */
+    fun due(nowMs: Long): List<Reservation> {
+        if (byCheck.isEmpty() || byCheck.first().nextCheckMs > nowMs) return emptyList()
+        return byCheck.takeWhile { it.nextCheckMs <= nowMs }
+    }
+
+    fun checkAgain(reservation: Reservation, atMs: Long) {
+        if (!byCheck.remove(reservation)) return
+        reservation.nextCheckMs = atMs
+        byCheck.add(reservation)
+    }
+
+    /** After [plan] uses less: lets reservations that waited for its limit be served. */
+    fun headroomFreed(plan: PlanAccount) {
+        if (plan.reservations.isEmpty() || plan.mayAddBeside(Resources.NONE, Resources.NONE)) return
+        for (reservation in plan.reservations) {
+            reservation.holds.firstOrNull()?.let { workers.freed.add(it.room) }
+        }
     }
 
     /** Drops all reservations that keep room on [room], after the worker stopped accepting work. */
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationPlanner.kt
@@ -13,15 +13,13 @@
 ) {
     /** Keeps room for one part of [job], or for all parts of a gang, and tells less urgent parts to leave at once. */
     fun reservePressing(job: JobEntry): Boolean {
-        val plan = job.kindQueue.plan
+        if (job.isGang && job.kindQueue.plan.reservedGang != null) return false
         val parts = if (job.isGang) job.pending.size else 1
-        if (job.isGang && plan.reservedGang != null) return false
-        if (!plan.mayAdd(plan.reserved + job.item.size * parts)) return false
         val freedBefore = workers.freed.toSet()
-        val reservation = reservations.open(job, Purpose.URGENT, clock())
-        reservation.nextOrderMs += CHECK_AGAIN_MS
+        val nowMs = clock()
+        val reservation = reservations.open(job, Purpose.URGENT, nowMs, nowMs + CHECK_AGAIN_MS)
         val victims = ArrayList<RunningPart>()
-        repeat(parts) {
+        for (part in 0 until parts) {
             val chosen = chooseRoom(job)
             if (chosen == null) {
                 victims.forEach { unmark(it) }
@@ -40,29 +38,20 @@
     }
 
     /** Keeps room for all parts of a gang where running parts are expected to end first. */
-    fun reserveGang(job: JobEntry): Boolean {
-        val plan = job.kindQueue.plan
-        val parts = job.pending.size
-        if (plan.reservedGang != null || !plan.mayAdd(plan.reserved + job.item.size * parts)) return false
-        return reserveByExpectedEnds(job, Purpose.GANG, parts)
-    }
+    fun reserveGang(job: JobEntry): Boolean =
+        job.kindQueue.plan.reservedGang == null && reserveByExpectedEnds(job, Purpose.GANG, job.pending.size)
 
-    /** Keeps room for one part of [job] where running parts are expected to end first. */
-    fun reserveOne(job: JobEntry): Boolean {
-        val plan = job.kindQueue.plan
-        if (!plan.mayAdd(plan.reserved + job.item.size)) return false
-        return reserveByExpectedEnds(job, Purpose.SHARE, 1)
-    }
+    /** Keeps room for one part of [job] where running parts are expected to end first, but before [latestMs]. */
+    fun reserveOne(job: JobEntry, latestMs: Long = Long.MAX_VALUE): Boolean =
+        reserveByExpectedEnds(job, Purpose.SHARE, 1, latestMs)
 
     /** Keeps room for one part of [job] and tells parts that run on a lent share to leave. */
     fun returnShare(job: JobEntry): Boolean {
-        val plan = job.kindQueue.plan
-        if (!shares.isEntitled(job.kindQueue) || !plan.mayAdd(plan.reserved + job.item.size)) return false
         val rule = preemptions.forShare(job)
-        val chosen = borrowedRooms(job).mapNotNull { room -> victimsOn(room, job.item.size, rule) }
-            .minByOrNull { PreemptionPlanner.cost(it.victims) } ?: return false
-        val reservation = reservations.open(job, Purpose.SHARE, clock())
-        reservation.nextOrderMs += CHECK_AGAIN_MS
+        val borrowers = shares.borrowers().filter { it !== job.kindQueue }
+        val chosen = leastCost(job, preemptions.roomsOfNewest(borrowers), rule) ?: return false
+        val nowMs = clock()
+        val reservation = reservations.open(job, Purpose.SHARE, nowMs, nowMs + CHECK_AGAIN_MS)
         reservations.keep(reservation, chosen.room, 1)
         preemptions.order(chosen.victims)
         return true
@@ -70,19 +59,21 @@
 
     /** Tells what is still in the way of [reservation] to leave; returns false if the room cannot be had. */
     fun enforce(reservation: Reservation): Boolean {
-        reservation.nextOrderMs = clock() + CHECK_AGAIN_MS
         val rule = when (reservation.purpose) {
             Purpose.URGENT -> preemptions.forPressing(reservation.job)
             Purpose.GANG -> preemptions.forGang(reservation.job)
             Purpose.SHARE -> preemptions.forShare(reservation.job)
         }
-        val victims = ArrayList<RunningPart>()
+        val victims = LinkedHashSet<RunningPart>()
         for (hold in reservation.holds) {
             val available = reservations.roomFor(hold) + hold.room.stopping
             val chosen = preemptions.choose(hold.room, hold.size, available, rule) ?: return false
             victims.addAll(chosen)
         }
-        preemptions.order(victims.distinct())
+        preemptions.order(victims.toList())
+        val size = reservation.job.item.size * reservation.holds.sumOf { it.parts }
+        val ofPlan = preemptions.chooseOfPlan(reservation.job.kindQueue.plan, size, rule) ?: return false
+        preemptions.order(ofPlan)
         return true
     }
 
@@ -90,30 +81,41 @@
 
     private fun chooseRoom(job: JobEntry): RoomChoice? {
         val rule = preemptions.forPressing(job)
-        return workers.reclaimableFor(job.item.size)
-            .mapNotNull { victimsOn(it, job.item.size, rule) }
-            .minByOrNull { PreemptionPlanner.cost(it.victims) }
+        return leastCost(job, workers.reclaimableFor(job.item.size), rule)
+            ?: leastCost(job, preemptions.roomsOfNewest(shares.borrowers() + job.kindQueue.plan.kinds.values), rule)
     }
 
-    private fun victimsOn(room: WorkerRoom, size: Resources, rule: (RunningPart) -> Boolean): RoomChoice? =
-        preemptions.choose(room, size, preemptions.availableOn(room), rule)?.let { RoomChoice(room, it) }
-
-    /** Workers where the kind that borrows most has its newest parts. */
-    private fun borrowedRooms(job: JobEntry): List<WorkerRoom> {
-        val borrower = shares.largestBorrower(job.kindQueue) ?: return emptyList()
-        return borrower.running.toList()
-            .takeLast(MAX_BORROWED_PARTS)
-            .map { it.worker }
-            .distinct()
-            .filter { it.accepting && job.item.size.fitsIn(it.capacity - it.held) }
+    /** At its plan's limit, only parts of the plan itself make way: they free the limit along with the room. */
+    private fun leastCost(job: JobEntry, rooms: List<WorkerRoom>, rule: (RunningPart) -> Boolean): RoomChoice? {
+        val plan = job.kindQueue.plan
+        val size = job.item.size
+        val isLimited = !plan.mayAddBeside(size, Resources.NONE)
+        val limitedRule: (RunningPart) -> Boolean = { it.job.kindQueue.plan === plan && rule(it) }
+        return rooms
+            .filter { it.accepting && size.fitsIn(it.capacity - it.held) }
+            .mapNotNull { room ->
+                val available = preemptions.availableOn(room)
+                val victims = if (isLimited) {
+                    preemptions.choose(room, size, available.notAbove(Resources.NONE), limitedRule)
+                } else {
+                    preemptions.choose(room, size, available, rule)
+                }
+                victims?.let { RoomChoice(room, it) }
+            }
+            .minByOrNull { PreemptionPlanner.cost(it.victims) }
     }
 
-    private fun reserveByExpectedEnds(job: JobEntry, purpose: Purpose, parts: Int): Boolean {
+    private fun reserveByExpectedEnds(
+        job: JobEntry,
+        purpose: Purpose,
+        parts: Int,
+        latestMs: Long = Long.MAX_VALUE,
+    ): Boolean {
         val nowMs = clock()
         val size = job.item.size
         val rooms = workers.roomiest(size, parts * ROOMS_PER_PART + MIN_ROOMS)
         val chosen = rooms.flatMap { RoomForecast.of(it, size, parts, nowMs) }.sortedBy { it.atMs }.take(parts)
-        if (chosen.size < parts) return false
+        if (chosen.size < parts || chosen.last().atMs > latestMs) return false
         val startAtMs = minOf(chosen.last().atMs, nowMs + MAX_WAIT_MS)
         val reservation = reservations.open(job, purpose, startAtMs)
         for ((room, openings) in chosen.groupBy { it.room }) reservations.keep(reservation, room, openings.size)
@@ -133,8 +135,7 @@
 
     private companion object {
         const val ROOMS_PER_PART = 4
-        const val MIN_ROOMS = 16
-        const val MAX_BORROWED_PARTS = 32
+        const val MIN_ROOMS = 8
 
         /** Longer than a checkpoint (2 s) and its repetition (after 3 s). */
         const val CHECK_AGAIN_MS = 4_000L
@@ -143,3 +144,9 @@
         const val MAX_WAIT_MS = 600_000L
     }
 }
+
+private fun Resources.notAbove(bound: Resources): Resources = Resources(
+    minOf(processorsMillicores, bound.processorsMillicores),
+    minOf(memoryBytes, bound.memoryBytes),
+    minOf(accelerators, bound.accelerators),
+)
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
@@ -4,6 +4,7 @@
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.Placement
 import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.Resources
 
 internal class RoundPlanner(
     private val clock: ClockMs,
@@ -28,17 +29,20 @@
         return placements.toList()
     }
 
+    /** Serves [reservation] in the coming round as if its room had just been freed. */
+    fun serveLater(reservation: Reservation): Unit = reservation.holds.forEach { workers.freed.add(it.room) }
+
     /** Places the job of [reservation] if its room is free and the round has space for it. */
-    fun serve(reservation: Reservation): Boolean {
+    private fun serve(reservation: Reservation) {
         val job = reservation.job
-        if (!reservations.isFree(reservation)) return false
         val parts = if (job.isGang) job.pending.size else 1
-        if (!hasSpaceFor(parts)) return false
-        if (!job.kindQueue.plan.mayAdd(job.item.size * parts)) return false
+        val mayStart = reservations.isFree(reservation) &&
+            hasSpaceFor(parts) &&
+            job.kindQueue.plan.mayAdd(job.item.size * parts)
+        if (!mayStart) return
         val rooms = reservation.holds.flatMap { hold -> List(hold.parts) { hold.room } }
         reservations.drop(reservation)
         commit(job, job.pending.take(parts).zip(rooms, ::Assignment))
-        return true
     }
 
     private fun hasSpaceFor(parts: Int): Boolean = placements.isEmpty() || placements.size + parts <= limit
@@ -47,7 +51,7 @@
     private fun absorbFreedRoom() {
         while (workers.freed.isNotEmpty() && placements.size < limit) {
             val room = workers.freed.first()
-            room.holds.map { it.reservation }.forEach { if (it.holds.isNotEmpty()) serve(it) }
+            room.holds.map { it.reservation }.forEach { serve(it) }
             workers.freed.remove(room)
             queue.roomFreed(room.free, room.uncharged.takeIf { room.holds.isNotEmpty() })
         }
@@ -66,15 +70,16 @@
 
     private fun tryPlace(next: ShapeQueue) {
         val job = next.jobs.first()
-        if (!next.kindQueue.plan.mayAdd(next.wanted)) return queue.block(next, QueueState.WAITS_FOR_LIMIT)
+        val own = if (job.reservations.isEmpty()) Resources.NONE else next.wanted
+        if (!next.kindQueue.plan.mayAddBeside(next.wanted, own)) return wait(next, QueueState.WAITS_FOR_LIMIT)
         if (job.isGang) {
-            if (!workers.fitTogether(job.item.size, job.pending.size)) return waitForRoom(next)
+            if (!workers.fitTogether(job.item.size, job.pending.size)) return wait(next, QueueState.WAITS_FOR_ROOM)
             reservations.dropAll(job)
             commit(job, job.pending.map { Assignment(it, null) })
         } else {
             val part = job.pending.first()
             val room = bestRoom(job)
-            if (room == null && !placeInReservedRoom(job, part)) return waitForRoom(next)
+            if (room == null && !placeInReservedRoom(job, part)) return wait(next, QueueState.WAITS_FOR_ROOM)
             if (room != null) commit(job, listOf(Assignment(part, room)))
             reservations.trim(job)
         }
@@ -98,7 +103,7 @@
         return true
     }
 
-    private fun waitForRoom(next: ShapeQueue) {
+    private fun wait(next: ShapeQueue, state: QueueState) {
         val nowMs = clock()
         val head = next.jobs.first()
         if (head.blockedSinceMs == null) head.blockedSinceMs = nowMs
@@ -107,7 +112,7 @@
         } else if (head.isGang) {
             planner.reserveGang(head)
         }
-        queue.block(next, QueueState.WAITS_FOR_ROOM)
+        queue.block(next, state)
     }
 
     /** Keeps room for each of the first pressing parts, so that a burst of them does not start one by one. */
@@ -149,6 +154,6 @@
         const val MAX_PASSES = 4
 
         /** Bounds the time of one round in a flood of urgent work. */
-        const val MAX_RESERVED_PARTS = 64
+        const val MAX_RESERVED_PARTS = 16
     }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
@@ -12,7 +12,9 @@
 /** Why a queue of equal jobs is not tried. */
 internal enum class QueueState { EMPTY, READY, WAITS_FOR_ROOM, WAITS_FOR_LIMIT }
 
-internal class ShapeQueue(val kindQueue: KindQueue, val shape: Shape) : Comparable<ShapeQueue> {
+/** [sizeClass] grows with the size; patient batch work of about the same age goes large before small. */
+internal class ShapeQueue(val kindQueue: KindQueue, val shape: Shape, private val sizeClass: Int) :
+    Comparable<ShapeQueue> {
     val jobs: TreeSet<JobEntry> = TreeSet()
     var state: QueueState = QueueState.EMPTY
 
@@ -26,6 +28,21 @@
 
     override fun compareTo(other: ShapeQueue): Int {
         val byRank = rank.compareTo(other.rank)
-        return if (byRank != 0) byRank else jobs.first().compareTo(other.jobs.first())
+        if (byRank != 0) return byRank
+        val bySize = if (isPacked && other.isPacked) compareForPacking(other) else 0
+        return if (bySize != 0) bySize else jobs.first().compareTo(other.jobs.first())
+    }
+
+    private val isPacked: Boolean
+        get() = kindQueue.kind.policy == Policy.BATCH && shape.urgency == Urgency.PATIENT
+
+    private fun compareForPacking(other: ShapeQueue): Int {
+        val byAge = (jobs.first().orderMs / PACK_WINDOW_MS).compareTo(other.jobs.first().orderMs / PACK_WINDOW_MS)
+        return if (byAge != 0) byAge else other.sizeClass.compareTo(sizeClass)
+    }
+
+    private companion object {
+        /** Small patient jobs wait behind large ones of the same window only, so none is passed for ever. */
+        const val PACK_WINDOW_MS = 60_000L
     }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/WorkerTable.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WorkerTable.kt
@@ -134,6 +134,8 @@
     /** True if [parts] parts of [size] fit on the empty fleet; also true while no worker is known. */
     fun fitsEmptyFleet(size: Resources, parts: Int): Boolean = fleet.fits(size, parts)
 
+    fun sizeClassOf(size: Resources): Int = fleet.sizeClassOf(size)
+
     private fun poolOf(room: WorkerRoom): WorkerPool = if (room.capacity.accelerators > 0) accelerated else plain
 
     private fun unindex(room: WorkerRoom) {
