Fill freed room directly and keep shares in floods

Cause: each end made every waiting queue that might fit ready, and most of them were blocked again at once; jobs behind the head of a queue were never counted as waiting, so their shares were returned late. Change: freed room is filled in order from the waiting queues; review covers all pressing queues; waiting time counts from the queueing; urgent work above its share keeps at most two rooms.

--- a/bench/src/main/kotlin/dev/bronzeshore/bench/FloodShare.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/FloodShare.kt
@@ -16,6 +16,8 @@
         val alone = useByKind(flood = null)
         for (flood in listOf(Urgency.PATIENT, Urgency.URGENT)) {
             val flooded = useByKind(flood)
+            val inUse = flooded.values.sum() / (shareCoreMs() * KINDS)
+            sink(Figure("cell_used_in_${flood.name.lowercase()}_flood", inUse, "ratio", seed, "$WORKERS workers"))
             for (demand in OTHERS) {
                 val entitled = minOf(alone.getValue(demand.kind), shareCoreMs())
                 val kept = flooded.getValue(demand.kind) / entitled
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/BlockedWorkReview.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/BlockedWorkReview.kt
@@ -48,11 +48,11 @@
     }
 
     private fun reviewKind(kind: KindQueue, nowMs: Long) {
-        if (kind.waiting.isEmpty()) return
+        if (kind.waiting.isEmpty) return
         val head = kind.waiting.first().jobs.first()
-        val waitedMs = nowMs - (head.blockedSinceMs ?: nowMs)
+        val waitedMs = nowMs - head.waitingSinceMs
         when {
-            head.isPressing(nowMs) -> step { round.reserveForAll(kind.waiting.first()) }
+            head.isPressing(nowMs) -> keepForPressing(kind, nowMs)
             head.isGang -> if (head.reservations.isEmpty()) step { planner.reserveGang(head) }
             waitedMs < KEEP_AFTER_MS -> Unit
             shares.isEntitled(kind, head.item.size) -> keepShare(kind, nowMs)
@@ -60,6 +60,14 @@
         }
     }
 
+    private fun keepForPressing(kind: KindQueue, nowMs: Long) {
+        kind.waiting.asSequence()
+            .take(MAX_QUEUES_PER_KIND)
+            .filter { it.jobs.first().isPressing(nowMs) }
+            .toList()
+            .forEach { if (stepsLeft > 0) step { round.reserveForAll(it) } }
+    }
+
     private inline fun <T> step(action: () -> T): T {
         stepsLeft--
         return action()
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/JobBook.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/JobBook.kt
@@ -24,6 +24,7 @@
 
     fun enqueue(job: JobEntry) {
         if (job.pending.isEmpty()) return
+        if (job.shapeQueue == null) job.waitingSinceMs = clock()
         queue.add(job)
         if (!job.started) deadlines.add(job)
         countActive(job.kindQueue)
@@ -39,7 +40,7 @@
     fun start(job: JobEntry, part: Int, room: WorkerRoom): RunningPart {
         val nowMs = clock()
         val running = RunningPart(job, part, room, nowMs, job.item.size)
-        running.yields = job.mayYield() && job.budget.allows(part, nowMs)
+        running.isDisturbable = job.mayYield() && job.budget.allows(part, nowMs)
         job.running[part] = running
         job.kindQueue.running.add(running)
         if (job.isSpread) job.partsByRack.merge(room.rack, 1, Int::plus)
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/JobEntry.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/JobEntry.kt
@@ -27,8 +27,8 @@
     /** True once any part was placed: the job may no longer be refused as "not run". */
     var started: Boolean = false
 
-    /** Since when the job was found not to fit anywhere, or null. */
-    var blockedSinceMs: Long? = null
+    /** When the job was queued, or when the last of its parts was placed. */
+    var waitingSinceMs: Long = 0
 
     val isGang: Boolean = item.isGang()
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/KindOrder.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/KindOrder.kt
@@ -7,35 +7,34 @@
  * Kinds at or above their share take what is left by use relative to weight, so that a lent share is divided fairly.
  */
 internal object KindOrder {
-    fun first(kinds: Collection<KindQueue>, nowMs: Long): KindQueue? {
-        var best: KindQueue? = null
-        var bestLane = Int.MAX_VALUE
-        for (kind in kinds) {
-            val lane = laneOf(kind, nowMs)
-            val current = best
-            val leads = if (current == null || lane != bestLane) lane < bestLane else precedes(kind, current, lane)
-            if (!leads) continue
-            best = kind
-            bestLane = lane
+    /** Returns the queue to serve first among [current] (null for none) and [other], which may be of any kinds. */
+    fun first(current: ShapeQueue?, other: ShapeQueue, nowMs: Long): ShapeQueue {
+        if (current == null) return other
+        val currentLane = laneOf(current, nowMs)
+        val otherLane = laneOf(other, nowMs)
+        val otherLeads = if (currentLane != otherLane) {
+            otherLane < currentLane
+        } else {
+            precedes(other, current, otherLane)
         }
-        return best
+        return if (otherLeads) other else current
     }
 
-    private fun laneOf(kind: KindQueue, nowMs: Long): Int = when {
-        !kind.isUnderShare -> LENT
-        kind.ready.first().jobs.first().isPressing(nowMs) -> PRESSING
+    private fun laneOf(queue: ShapeQueue, nowMs: Long): Int = when {
+        !queue.kindQueue.isUnderShare -> LENT
+        queue.jobs.first().isPressing(nowMs) -> PRESSING
         else -> ENTITLED
     }
 
-    private fun precedes(kind: KindQueue, other: KindQueue, lane: Int): Boolean {
-        val byUse = compareUse(kind, other)
-        val byRank = kind.ready.first().rank.compareTo(other.ready.first().rank)
+    private fun precedes(queue: ShapeQueue, other: ShapeQueue, lane: Int): Boolean {
+        val byUse = compareUse(queue.kindQueue, other.kindQueue)
+        val byRank = queue.rank.compareTo(other.rank)
         val first = if (lane == LENT) byUse else byRank
         val second = if (lane == LENT) byRank else byUse
         return when {
             first != 0 -> first < 0
             second != 0 -> second < 0
-            else -> kind.ready.first() < other.ready.first()
+            else -> queue < other
         }
     }
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/KindQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/KindQueue.kt
@@ -11,8 +11,8 @@
     /** Queues that may be tried, first in order first. */
     val ready: TreeSet<ShapeQueue> = TreeSet()
 
-    /** Queues that wait for room or for the plan's limit, first in order first. */
-    val waiting: TreeSet<ShapeQueue> = TreeSet()
+    /** Queues that wait for room or for the plan's limit. */
+    val waiting: WaitingShapes = WaitingShapes()
 
     /** Declared sizes of the running parts. */
     var used: Resources = Resources.NONE
@@ -36,6 +36,9 @@
     /** Number of reservations for single parts of this kind that are not pressing. */
     var shareReservations: Int = 0
 
+    /** Number of reservations for pressing work of this kind. */
+    var pressingReservations: Int = 0
+
     val weight: Long
         get() = kind.weight.coerceAtLeast(1).toLong()
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PlacementEngine.kt
@@ -33,7 +33,9 @@
     private val checker = JobChecker(clock, workers, book, reservations)
     private val preemptions = PreemptionPlanner(clock, book.shares, mayStop)
     private val planner = ReservationPlanner(clock, workers, book.shares, reservations, preemptions)
-    private val round = RoundPlanner(clock, workers, queue, book, reservations, planner)
+    private val starter = PartStarter(workers, book)
+    private val backfill = Backfill(clock, workers, queue, starter, reservations)
+    private val round = RoundPlanner(clock, workers, queue, starter, reservations, planner, backfill)
     private val review = BlockedWorkReview(clock, queue, book.shares, reservations, planner, round)
     private val usage = UsageTracker(workers, preemptions)
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PlanAccount.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PlanAccount.kt
@@ -33,9 +33,6 @@
 
     val kinds: LinkedHashMap<String, KindQueue> = LinkedHashMap()
 
-    /** Queues that wait until the plan uses less. */
-    val limited: LinkedHashSet<ShapeQueue> = LinkedHashSet()
-
     /** The newest declaration of a kind sets its weight. */
     fun kindQueue(kind: WorkKind): KindQueue {
         val queue = kinds.getOrPut(kind.name) { KindQueue(this, kind) }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/PreemptionPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/PreemptionPlanner.kt
@@ -129,7 +129,8 @@
     /** A part placed in this very round is left alone: its start was not sent yet. */
     private fun mayDisturb(part: RunningPart): Boolean {
         val nowMs = clock()
-        return part.yields && !part.isStopping && part.startedAtMs < nowMs && part.job.budget.allows(part.part, nowMs)
+        val isLeft = part.isStopping || part.startedAtMs >= nowMs
+        return part.isDisturbable && !isLeft && part.job.budget.allows(part.part, nowMs)
     }
 
     /** Important work leaves only if it can start again well before its latest start. */
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationBook.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationBook.kt
@@ -17,6 +17,7 @@
         job.kindQueue.plan.reservations.add(reservation)
         if (job.isGang) job.kindQueue.plan.reservedGang = job
         if (purpose == Purpose.SHARE) job.kindQueue.shareReservations++
+        if (purpose == Purpose.URGENT) job.kindQueue.pressingReservations++
         return reservation
     }
 
@@ -37,6 +38,7 @@
         job.kindQueue.plan.reservations.remove(reservation)
         if (job.kindQueue.plan.reservedGang === job) job.kindQueue.plan.reservedGang = null
         if (reservation.purpose == Purpose.SHARE) job.kindQueue.shareReservations--
+        if (reservation.purpose == Purpose.URGENT) job.kindQueue.pressingReservations--
         for (hold in reservation.holds) {
             job.kindQueue.reserved -= hold.size
             job.kindQueue.plan.reserved -= hold.size
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationPlanner.kt
@@ -15,6 +15,7 @@
     fun reservePressing(job: JobEntry): Boolean {
         if (job.isGang && job.kindQueue.plan.reservedGang != null) return false
         val parts = if (job.isGang) job.pending.size else 1
+        if (!mayReservePressing(job, parts)) return false
         val freedBefore = workers.freed.toSet()
         val nowMs = clock()
         val reservation = reservations.open(job, Purpose.URGENT, nowMs, nowMs + CHECK_AGAIN_MS)
@@ -37,6 +38,11 @@
         return true
     }
 
+    /** A flood of urgent work above its share must not keep the room that others are entitled to. */
+    private fun mayReservePressing(job: JobEntry, parts: Int): Boolean =
+        job.kindQueue.pressingReservations < MAX_PRESSING_ON_LENT_SHARE ||
+            shares.isEntitledToUrgent(job.kindQueue, job.item.size * parts)
+
     /** Keeps room for all parts of a gang where running parts are expected to end first. */
     fun reserveGang(job: JobEntry): Boolean =
         job.kindQueue.plan.reservedGang == null && reserveByExpectedEnds(job, Purpose.GANG, job.pending.size)
@@ -140,6 +146,9 @@
         /** Longer than a checkpoint (2 s) and its repetition (after 3 s). */
         const val CHECK_AGAIN_MS = 4_000L
 
+        /** One reservation of an urgent flood serves one part in 2 s, which takes next to nothing from other kinds. */
+        const val MAX_PRESSING_ON_LENT_SHARE = 2
+
         /** Bounds the wait behind work whose declared end is far away; batch work that is still there has to leave. */
         const val MAX_WAIT_MS = 600_000L
     }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
@@ -3,30 +3,28 @@
 
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.Placement
-import dev.bronzeshore.core.Policy
 import dev.bronzeshore.core.Resources
 
 internal class RoundPlanner(
     private val clock: ClockMs,
     private val workers: WorkerTable,
     private val queue: WorkQueue,
-    private val book: JobBook,
+    private val starter: PartStarter,
     private val reservations: ReservationBook,
     private val planner: ReservationPlanner,
+    private val backfill: Backfill,
 ) {
-    private val placements: ArrayList<Placement> = ArrayList()
-    private var limit: Int = 0
-
     /** Decides at most [limit] placements, except that a gang larger than [limit] starts alone in a round. */
     fun placeUpTo(limit: Int): List<Placement> {
-        this.limit = limit
-        placements.clear()
+        starter.begin(limit)
         var passes = 0
         do {
-            absorbFreedRoom()
-            val roundIsFull = !serveQueues()
-        } while (!roundIsFull && workers.freed.isNotEmpty() && ++passes < MAX_PASSES)
-        return placements.toList()
+            fillFreedRooms()
+            fillFreedLimits()
+            serveReady()
+            val mayGoOn = !starter.isFull && (workers.freed.isNotEmpty() || queue.freedPlans.isNotEmpty())
+        } while (mayGoOn && ++passes < MAX_PASSES)
+        return starter.placements.toList()
     }
 
     /** Serves [reservation] in the coming round as if its room had just been freed. */
@@ -37,76 +35,110 @@
         val job = reservation.job
         val parts = if (job.isGang) job.pending.size else 1
         val mayStart = reservations.isFree(reservation) &&
-            hasSpaceFor(parts) &&
+            starter.hasSpaceFor(parts) &&
             job.kindQueue.plan.mayAdd(job.item.size * parts)
         if (!mayStart) return
         val rooms = reservation.holds.flatMap { hold -> List(hold.parts) { hold.room } }
         reservations.drop(reservation)
-        commit(job, job.pending.take(parts).zip(rooms, ::Assignment))
+        starter.start(job, job.pending.take(parts).zip(rooms, ::Assignment))
     }
 
-    private fun hasSpaceFor(parts: Int): Boolean = placements.isEmpty() || placements.size + parts <= limit
-
-    /** Gives freed room first to the work it was kept for, then lets waiting queues be tried again. */
-    private fun absorbFreedRoom() {
-        while (workers.freed.isNotEmpty() && placements.size < limit) {
+    /** Gives freed room first to the work it was kept for, then to what waits for room, in order. */
+    private fun fillFreedRooms() {
+        while (workers.freed.isNotEmpty() && !starter.isFull) {
             val room = workers.freed.first()
             room.holds.map { it.reservation }.forEach { serve(it) }
             workers.freed.remove(room)
-            queue.roomFreed(room.free, room.uncharged.takeIf { room.holds.isNotEmpty() })
+            while (!starter.isFull) {
+                val next = firstFor(room) ?: break
+                if (!starter.hasSpaceFor(next.shape.gangParts)) return
+                if (next.state == QueueState.READY || next.shape.gangParts > 0) tryPlace(next) else fill(room, next)
+            }
+            backfill.fill(room) { mayStart(it) }
+        }
+    }
+
+    /** Returns the first queue in order that could start on [room]: waiting ones fit nowhere else. */
+    private fun firstFor(room: WorkerRoom): ShapeQueue? {
+        val nowMs = clock()
+        val free = room.free
+        var first: ShapeQueue? = null
+        for (kind in queue.waitingKinds) {
+            val fitting = kind.waiting.firstFitting(free, QueueState.WAITS_FOR_ROOM) { mayStart(it) } ?: continue
+            first = KindOrder.first(first, fitting, nowMs)
+        }
+        for (kind in queue.readyKinds) first = KindOrder.first(first, kind.ready.first(), nowMs)
+        return first
+    }
+
+    private fun mayStart(waiting: ShapeQueue): Boolean {
+        val gangParts = waiting.shape.gangParts
+        return waiting.kindQueue.plan.mayAddBeside(waiting.wanted, ownReserved(waiting)) &&
+            (gangParts == 0 || workers.fitTogether(waiting.shape.size, gangParts))
+    }
+
+    private fun fill(room: WorkerRoom, next: ShapeQueue) {
+        val job = next.jobs.first()
+        starter.start(job, listOf(Assignment(job.pending.first(), room)))
+        reservations.trim(job)
+    }
+
+    /** Looks again at what waits for the limit of plans that use less now. */
+    private fun fillFreedLimits() {
+        while (queue.freedPlans.isNotEmpty() && !starter.isFull) {
+            val plan = queue.freedPlans.first()
+            val next = firstFor(plan)
+            if (next != null && !starter.hasSpaceFor(next.shape.gangParts)) return
+            if (next == null) queue.freedPlans.remove(plan) else tryPlace(next)
         }
     }
 
-    /** Returns false if the round is full. */
-    private fun serveQueues(): Boolean {
+    private fun firstFor(plan: PlanAccount): ShapeQueue? {
         val nowMs = clock()
-        while (placements.size < limit) {
-            val next = KindOrder.first(queue.readyKinds, nowMs)?.ready?.first() ?: return true
-            if (!hasSpaceFor(next.shape.gangParts)) return false
+        val headroom = plan.headroom()
+        var first: ShapeQueue? = null
+        for (kind in plan.kinds.values) {
+            val fitting = kind.waiting.firstFitting(headroom, QueueState.WAITS_FOR_LIMIT) {
+                it.wanted.fitsIn(headroom)
+            } ?: continue
+            first = KindOrder.first(first, fitting, nowMs)
+        }
+        return first
+    }
+
+    private fun serveReady() {
+        val nowMs = clock()
+        while (!starter.isFull) {
+            var next: ShapeQueue? = null
+            for (kind in queue.readyKinds) next = KindOrder.first(next, kind.ready.first(), nowMs)
+            if (next == null || !starter.hasSpaceFor(next.shape.gangParts)) return
             tryPlace(next)
         }
-        return false
     }
 
+    private fun ownReserved(queue: ShapeQueue): Resources =
+        if (queue.jobs.first().reservations.isEmpty()) Resources.NONE else queue.wanted
+
     private fun tryPlace(next: ShapeQueue) {
         val job = next.jobs.first()
-        val own = if (job.reservations.isEmpty()) Resources.NONE else next.wanted
-        if (!next.kindQueue.plan.mayAddBeside(next.wanted, own)) return wait(next, QueueState.WAITS_FOR_LIMIT)
+        val isAllowed = next.kindQueue.plan.mayAddBeside(next.wanted, ownReserved(next))
+        if (!isAllowed) return wait(next, QueueState.WAITS_FOR_LIMIT)
         if (job.isGang) {
             if (!workers.fitTogether(job.item.size, job.pending.size)) return wait(next, QueueState.WAITS_FOR_ROOM)
             reservations.dropAll(job)
-            commit(job, job.pending.map { Assignment(it, null) })
+            starter.start(job, job.pending.map { Assignment(it, null) })
         } else {
             val part = job.pending.first()
-            val room = bestRoom(job)
-            if (room == null && !placeInReservedRoom(job, part)) return wait(next, QueueState.WAITS_FOR_ROOM)
-            if (room != null) commit(job, listOf(Assignment(part, room)))
+            val room = starter.bestRoom(job)
+            if (room == null && !backfill.startAnywhere(job)) return wait(next, QueueState.WAITS_FOR_ROOM)
+            if (room != null) starter.start(job, listOf(Assignment(part, room)))
             reservations.trim(job)
         }
     }
 
-    private fun bestRoom(job: JobEntry): WorkerRoom? {
-        val size = job.item.size
-        if (!job.isSpread) return workers.bestFit(size) { FitScore.tight(it, size) }
-        return workers.bestFit(size) { FitScore.spread(it, size, job.partsByRack[it.rack] ?: 0) }
-    }
-
-    /** Backfill: starts batch work in kept room if it has to end before that room is needed. */
-    private fun placeInReservedRoom(job: JobEntry, part: Int): Boolean {
-        val nowMs = clock()
-        if (job.item.kind.policy != Policy.BATCH || !job.budget.allows(part, nowMs)) return false
-        val endMs = nowMs + job.item.declaredRunMs
-        val room = workers.reservedRoomFor(job.item.size)
-            .firstOrNull { room -> room.holds.all { endMs <= it.reservation.startAtMs } } ?: return false
-        commit(job, listOf(Assignment(part, room)))
-        job.running[part]?.mustEndByMs = endMs
-        return true
-    }
-
     private fun wait(next: ShapeQueue, state: QueueState) {
         val nowMs = clock()
         val head = next.jobs.first()
-        if (head.blockedSinceMs == null) head.blockedSinceMs = nowMs
         if (head.isPressing(nowMs)) {
             reserveForAll(next)
         } else if (head.isGang) {
@@ -117,43 +149,22 @@
 
     /** Keeps room for each of the first pressing parts, so that a burst of them does not start one by one. */
     fun reserveForAll(next: ShapeQueue) {
-        var left = MAX_RESERVED_PARTS
-        for (job in next.jobs) {
+        var left = MAX_NEW_RESERVATIONS
+        for (job in next.jobs.take(MAX_RESERVED_JOBS)) {
             val wanted = if (job.isGang) 1 else job.pending.size
-            left -= job.reservations.size
             while (left > 0 && job.reservations.size < wanted) {
                 if (!planner.reservePressing(job)) return
                 left--
             }
-            if (left <= 0) return
-        }
-    }
-
-    private class Assignment(val part: Int, val room: WorkerRoom?)
-
-    /** Starts the given parts; an assignment without a worker takes the best one, which the caller has made sure of. */
-    private fun commit(job: JobEntry, assignments: List<Assignment>) {
-        book.dequeue(job)
-        job.started = true
-        job.blockedSinceMs = null
-        for (assignment in assignments) {
-            val room = assignment.room ?: bestRoom(job)
-            checkNotNull(room) { "no room for part ${assignment.part} of ${job.item.jobId}" }
-            job.pending.remove(assignment.part)
-            book.start(job, assignment.part, room)
-            check(room.charged.fitsIn(room.capacity)) { "worker ${room.workerId} is over its capacity" }
-            placements.add(Placement(job.item.jobId, assignment.part, room.workerId))
         }
-        val plan = job.kindQueue.plan
-        check(plan.limit?.let { plan.used.fitsIn(it) } == true) { "plan ${plan.name} is over its limit" }
-        book.enqueue(job)
     }
 
     private companion object {
         /** Room given back during a round lets another pass start; what is left waits for the next round. */
         const val MAX_PASSES = 4
 
-        /** Bounds the time of one round in a flood of urgent work. */
-        const val MAX_RESERVED_PARTS = 16
+        /** Bounds the time of one round in a flood of urgent work; the review goes on every 100 ms. */
+        const val MAX_NEW_RESERVATIONS = 16
+        const val MAX_RESERVED_JOBS = 256
     }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/RunningPart.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/RunningPart.kt
@@ -2,6 +2,7 @@
 package dev.bronzeshore.placement
 
 import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.Urgency
 
 /** A part from its placement until its end is reported; [charge] is what it takes from the worker's room. */
 internal class RunningPart(
@@ -19,8 +20,12 @@
 
     var reportCount: Int = 0
 
-    /** True if the part may be asked to leave; its room then counts as reclaimable. */
-    var yields: Boolean = false
+    /** True if the part may be asked to leave at all. */
+    var isDisturbable: Boolean = false
+
+    /** True if urgent work may ask the part to leave; its room then counts as reclaimable. */
+    val yields: Boolean
+        get() = isDisturbable && job.item.urgency != Urgency.URGENT
 
     /** When the part was last told to leave, or null. */
     var stopOrderedAtMs: Long? = null
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
@@ -21,9 +21,6 @@
     /** Room that has to be free at once: all parts of a gang, or one part. */
     val wanted: Resources = if (shape.gangParts > 0) shape.size * shape.gangParts else shape.size
 
-    /** Position in the list of blocked queues, or -1. */
-    var blockedAt: Int = -1
-
     val rank: Int = if (kindQueue.kind.policy == Policy.IMPORTANT) 0 else shape.urgency.ordinal
 
     override fun compareTo(other: ShapeQueue): Int {
--- /dev/null
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WaitingShapes.kt
@@ -0,0 +1,46 @@
+/** Blocked queues of one kind, first in order first. */
+package dev.bronzeshore.placement
+
+import dev.bronzeshore.core.Resources
+import java.util.TreeSet
+
+internal class WaitingShapes {
+    private val inOrder: TreeSet<ShapeQueue> = TreeSet()
+
+    /** No waiting queue asks for less than this; may be too low after removals. */
+    private var leastMillicores: Long = Long.MAX_VALUE
+    private var leastBytes: Long = Long.MAX_VALUE
+
+    val isEmpty: Boolean
+        get() = inOrder.isEmpty()
+
+    fun add(queue: ShapeQueue) {
+        inOrder.add(queue)
+        leastMillicores = minOf(leastMillicores, queue.shape.size.processorsMillicores)
+        leastBytes = minOf(leastBytes, queue.shape.size.memoryBytes)
+    }
+
+    fun remove(queue: ShapeQueue) {
+        inOrder.remove(queue)
+    }
+
+    fun first(): ShapeQueue = inOrder.first()
+
+    fun asSequence(): Sequence<ShapeQueue> = inOrder.asSequence()
+
+    /** Returns the first queue in [state] whose parts fit into [room] and that [accepts] approves, or null. */
+    fun firstFitting(room: Resources, state: QueueState, accepts: (ShapeQueue) -> Boolean): ShapeQueue? {
+        if (leastMillicores > room.processorsMillicores || leastBytes > room.memoryBytes) return null
+        var millicores = Long.MAX_VALUE
+        var bytes = Long.MAX_VALUE
+        for (queue in inOrder) {
+            val size = queue.shape.size
+            if (queue.state == state && size.fitsIn(room) && accepts(queue)) return queue
+            millicores = minOf(millicores, size.processorsMillicores)
+            bytes = minOf(bytes, size.memoryBytes)
+        }
+        leastMillicores = millicores
+        leastBytes = bytes
+        return null
+    }
+}
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/WorkQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WorkQueue.kt
@@ -11,7 +11,8 @@
     /** Kinds with at least one queue that waits for room or for the limit of its plan. */
     val waitingKinds: LinkedHashSet<KindQueue> = LinkedHashSet()
 
-    private val blocked: ArrayList<ShapeQueue> = ArrayList()
+    /** Plans that use or keep less than when the queue last looked at them. */
+    val freedPlans: LinkedHashSet<PlanAccount> = LinkedHashSet()
 
     fun add(job: JobEntry) {
         if (job.pending.isEmpty()) return
@@ -40,22 +41,9 @@
         link(queue, state)
     }
 
-    /** Makes ready what waits for room and may fit into [free], or by backfill into [behindHolds], on one worker. */
-    fun roomFreed(free: Resources, behindHolds: Resources?) {
-        var at = blocked.size - 1
-        while (at >= 0) {
-            val queue = blocked[at]
-            val size = queue.shape.size
-            if (size.fitsIn(free) || (behindHolds != null && size.fitsIn(behindHolds))) makeReady(queue)
-            at--
-        }
-    }
-
-    /** Makes ready what waits for the limit of [plan] and may fit under it now. */
+    /** Records that [plan] may start more, so that the next round looks at what waits for its limit. */
     fun limitFreed(plan: PlanAccount) {
-        if (plan.limited.isEmpty()) return
-        val headroom = plan.headroom()
-        plan.limited.filter { it.wanted.fitsIn(headroom) }.forEach { makeReady(it) }
+        freedPlans.add(plan)
     }
 
     fun makeReady(queue: ShapeQueue) {
@@ -71,14 +59,9 @@
                 kind.ready.add(queue)
                 readyKinds.add(kind)
             }
-            QueueState.WAITS_FOR_LIMIT -> {
-                kind.plan.limited.add(queue)
-                linkWaiting(queue)
-            }
-            QueueState.WAITS_FOR_ROOM -> {
-                queue.blockedAt = blocked.size
-                blocked.add(queue)
-                linkWaiting(queue)
+            QueueState.WAITS_FOR_LIMIT, QueueState.WAITS_FOR_ROOM -> {
+                kind.waiting.add(queue)
+                waitingKinds.add(kind)
             }
             QueueState.EMPTY -> Unit
         }
@@ -90,33 +73,12 @@
                 queue.kindQueue.ready.remove(queue)
                 if (queue.kindQueue.ready.isEmpty()) readyKinds.remove(queue.kindQueue)
             }
-            QueueState.WAITS_FOR_LIMIT -> {
-                queue.kindQueue.plan.limited.remove(queue)
-                unlinkWaiting(queue)
+            QueueState.WAITS_FOR_LIMIT, QueueState.WAITS_FOR_ROOM -> {
+                queue.kindQueue.waiting.remove(queue)
+                if (queue.kindQueue.waiting.isEmpty) waitingKinds.remove(queue.kindQueue)
             }
-            QueueState.WAITS_FOR_ROOM -> unlinkBlocked(queue)
             QueueState.EMPTY -> Unit
         }
         queue.state = QueueState.EMPTY
     }
-
-    private fun unlinkBlocked(queue: ShapeQueue) {
-        val last = blocked.removeLast()
-        if (last !== queue) {
-            blocked[queue.blockedAt] = last
-            last.blockedAt = queue.blockedAt
-        }
-        queue.blockedAt = -1
-        unlinkWaiting(queue)
-    }
-
-    private fun linkWaiting(queue: ShapeQueue) {
-        queue.kindQueue.waiting.add(queue)
-        waitingKinds.add(queue.kindQueue)
-    }
-
-    private fun unlinkWaiting(queue: ShapeQueue) {
-        queue.kindQueue.waiting.remove(queue)
-        if (queue.kindQueue.waiting.isEmpty()) waitingKinds.remove(queue.kindQueue)
-    }
 }
