--- a/placement/src/main/kotlin/dev/bronzeshore/placement/Backfill.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/Backfill.kt
@@ -15,12 +15,15 @@
     private val starter: PartStarter,
     private val reservations: ReservationBook,
 ) {
-    /** Starts the next part of [job] in kept room; returns false if no worker allows it. */
-    fun startAnywhere(job: JobEntry): Boolean {
+    /** Starts one part of [waiting] in kept room; returns false if no worker allows it. */
+    fun startAnywhere(waiting: ShapeQueue): Boolean {
         val nowMs = clock()
-        val room = workers.reservedRoomFor(job.item.size).firstOrNull { mayUse(it, job, nowMs) } ?: return false
-        start(job, room, nowMs)
-        return true
+        for (room in workers.reservedRoomFor(waiting.shape.size)) {
+            val job = jobFor(room, waiting, nowMs) ?: continue
+            start(job, room, nowMs)
+            return true
+        }
+        return false
     }
 
     /** Starts waiting work on [room] as far as running parts leave room there. */
@@ -31,14 +34,19 @@
             var first: ShapeQueue? = null
             for (kind in queue.waitingKinds) {
                 val fitting = kind.waiting.firstFitting(room.uncharged, QueueState.WAITS_FOR_ROOM) {
-                    mayStart(it) && mayUse(room, it.jobs.first(), nowMs)
+                    mayStart(it) && jobFor(room, it, nowMs) != null
                 } ?: continue
                 first = KindOrder.first(first, fitting, nowMs)
             }
-            start((first ?: return).jobs.first(), room, nowMs)
+            val job = jobFor(room, first ?: return, nowMs) ?: return
+            start(job, room, nowMs)
         }
     }
 
+    /** Jobs of equal size may differ in their run time, so a few behind the first one are looked at, too. */
+    private fun jobFor(room: WorkerRoom, waiting: ShapeQueue, nowMs: Long): JobEntry? =
+        waiting.jobs.asSequence().take(MAX_JOBS).firstOrNull { mayUse(room, it, nowMs) }
+
     private fun mayUse(room: WorkerRoom, job: JobEntry, nowMs: Long): Boolean = job.item.kind.policy == Policy.BATCH &&
         !job.isGang &&
         job.budget.allows(job.pending.first(), nowMs) &&
@@ -50,4 +58,8 @@
         job.running[part]?.mustEndByMs = nowMs + job.item.declaredRunMs
         reservations.trim(job)
     }
+
+    private companion object {
+        const val MAX_JOBS = 8
+    }
 }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
@@ -130,7 +130,7 @@
         } else {
             val part = job.pending.first()
             val room = starter.bestRoom(job)
-            if (room == null && !backfill.startAnywhere(job)) return wait(next, QueueState.WAITS_FOR_ROOM)
+            if (room == null && !backfill.startAnywhere(next)) return wait(next, QueueState.WAITS_FOR_ROOM)
             if (room != null) starter.start(job, listOf(Assignment(part, room)))
             reservations.trim(job)
         }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ShareAccounts.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ShareAccounts.kt
@@ -89,12 +89,20 @@
 
     private fun micros(part: Long, total: Long): Long = when {
         total == 0L -> 0
-        total < MICROS -> part * MICROS / total
-        else -> part / (total / MICROS)
+        total <= MOST_EXACT -> part * MICROS / total
+        else -> {
+            // Drops low bits that a share in millionths does not need, so that the product fits into a long.
+            val shift = Long.SIZE_BITS - total.countLeadingZeroBits() - EXACT_BITS
+            (part shr shift) * MICROS / (total shr shift)
+        }
     }
 
     private companion object {
         const val MICROS = 1_000_000L
         const val MAX_BORROWERS = 3
+
+        /** A product of this and [MICROS] still fits into a long. */
+        const val EXACT_BITS = 42
+        const val MOST_EXACT = 1L shl EXACT_BITS
     }
 }
