Measure how many workers a steady feed needs

Cause: a static set of jobs does not show what blocked queue heads and wrong declarations cost. Change: searches the smallest fleet with a mean wait of at most 5 s, with and without usage reports, next to the baselines; gangs in bench are larger.

--- a/bench/src/main/kotlin/dev/bronzeshore/bench/Feeder.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/Feeder.kt
@@ -4,6 +4,7 @@
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.Decisions
 import dev.bronzeshore.core.Placement
+import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.WorkItem
 import dev.bronzeshore.core.WorkPlacer
 import java.util.PriorityQueue
@@ -40,8 +41,21 @@
     val runningCount: Int
         get() = running.size
 
+    /** Parts that were submitted and not yet started, or requeued. */
+    var waitingCount: Int = 0
+        private set
+
+    /** Reports the use of each running part. */
+    fun reportAll(usedBy: (Running) -> Resources) {
+        for (part in running.values) {
+            val placement = part.placement
+            placer.reportUsage(placement.jobId, placement.part, placement.workerId, usedBy(part))
+        }
+    }
+
     fun submit(item: WorkItem) {
         items[item.jobId] = item
+        waitingCount += item.parts
         placer.submit(item).onLeft { error("refused ${item.jobId}: $it") }
     }
 
@@ -57,6 +71,7 @@
             val started = Running(item, placement, nowMs, nowMs + runMsOf(item))
             running[keyOf(placement.jobId, placement.part)] = started
             ends.add(started)
+            waitingCount--
             onStart(started)
         }
         for (preemption in decisions.preemptions) {
@@ -92,6 +107,7 @@
     private fun end(part: Running) {
         part.ended = true
         running.remove(keyOf(part.placement.jobId, part.placement.part))
+        if (part.requeue) waitingCount++
         onEnd(part)
         placer.partEnded(part.placement.jobId, part.placement.part, part.placement.workerId, part.requeue)
     }
--- a/bench/src/main/kotlin/dev/bronzeshore/bench/GangStart.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/GangStart.kt
@@ -55,9 +55,9 @@
     }
 
     private fun submitGang(feed: JobFeed, feeder: Feeder): Double {
-        val size = Resources(4_000, 12 * GIB)
+        val size = Resources(8_000, 24 * GIB)
         val runMs = feed.random.nextLong(10_000, 60_000)
-        val parts = feed.random.nextInt(8, 33)
+        val parts = feed.random.nextInt(8, 41)
         feeder.submit(feed.job(JobProfile(feed.anyPlan(), JobFeed.GANG, parts = parts), size, feeder.nowMs, runMs))
         return size.processorsMillicores.toDouble() * runMs * parts
     }
@@ -75,7 +75,7 @@
         const val WORKERS = 100
         val WORKER = Resources(32_000, 128 * GIB)
         const val LOAD = 0.9
-        const val GANG_EVERY = 40
+        const val GANG_EVERY = 80
         const val STEP_MS = 200L
         const val LENGTH_MS = 900_000L
     }
--- a/bench/src/main/kotlin/dev/bronzeshore/bench/Main.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/Main.kt
@@ -10,7 +10,7 @@
     @Option(name = "--seed", usage = "seed of all feeds")
     var seed: Long = 20_260_807
 
-    @Option(name = "--only", usage = "runs one group: latency, throughput, urgent, flood, packing or gang")
+    @Option(name = "--only", usage = "runs one group: latency, throughput, urgent, flood, packing, fleet or gang")
     var only: String? = null
 }
 
@@ -23,6 +23,7 @@
     Measurement("urgent") { seed, sink -> UrgentStart(seed, sink).run() },
     Measurement("flood") { seed, sink -> FloodShare(seed, sink).run() },
     Measurement("packing") { seed, sink -> Packing(seed, sink).run() },
+    Measurement("fleet") { seed, sink -> FleetNeed(seed, sink).run() },
     Measurement("gang") { seed, sink -> GangStart(seed, sink).run() },
 )
 
