--- a/placement/src/main/kotlin/dev/bronzeshore/placement/JobBook.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/JobBook.kt
@@ -17,13 +17,14 @@
     fun planOf(name: String): PlanAccount = plans.getOrPut(name) { PlanAccount(name) }
 
     fun jobOf(item: WorkItem): JobEntry = jobs.getOrPut(item.jobId) {
-        val kindQueue = planOf(item.plan).kindQueue(item.kind)
-        shares.changed()
-        JobEntry(item, kindQueue, nextSequence++)
+        val plan = planOf(item.plan)
+        if (plan.kinds[item.kind.name]?.kind?.weight != item.kind.weight) shares.changed()
+        JobEntry(item, plan.kindQueue(item.kind), nextSequence++)
     }
 
     fun enqueue(job: JobEntry) {
         if (job.pending.isEmpty()) return
+        if (job.shapeQueue == null) job.waitingSinceMs = clock()
         queue.add(job)
         if (!job.started) deadlines.add(job)
         countActive(job.kindQueue)
@@ -39,12 +40,12 @@
     fun start(job: JobEntry, part: Int, room: WorkerRoom): RunningPart {
         val nowMs = clock()
         val running = RunningPart(job, part, room, nowMs, job.item.size)
-        running.yields = job.mayYield() && job.budget.allows(part, nowMs)
+        running.isDisturbable = job.mayYield() && job.budget.allows(part, nowMs)
         job.running[part] = running
         job.kindQueue.running.add(running)
         if (job.isSpread) job.partsByRack.merge(room.rack, 1, Int::plus)
         workers.charge(running)
-        shares.use(job.kindQueue, job.item.size)
+        shares.use(job, job.item.size)
         countActive(job.kindQueue)
         return running
     }
@@ -56,7 +57,7 @@
         job.kindQueue.running.remove(running)
         if (job.isSpread) job.partsByRack.merge(running.worker.rack, -1, Int::plus)
         workers.release(running)
-        shares.use(job.kindQueue, Resources.NONE - job.item.size)
+        shares.use(job, Resources.NONE - job.item.size)
         countActive(job.kindQueue)
     }
 
