--- a/requests/src/main/kotlin/dev/bronzeshore/requests/KindQueue.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/KindQueue.kt
@@ -1,6 +1,8 @@
 /** The queue of one kind of requests. */
 package dev.bronzeshore.requests
 
+import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.WorkKind
 import java.util.PriorityQueue
 
@@ -15,6 +17,12 @@
         private set
     var inUse: Int = 0
         private set
+
+    /** The fault of requests that arrive while the queue is full; the only field that other threads read. */
+    @Volatile
+    var standingRefusal: Fault? = null
+        private set
+    private var overflowedAtMs = Long.MIN_VALUE / 2
     val weight: Int get() = maxOf(1, kind.weight)
 
     fun add(request: QueuedRequest) {
@@ -41,6 +49,21 @@
         if (heap.size > 2 * waiting + MIN_DEAD_ENTRIES) heap.removeIf { it.state != QueuedState.WAITING }
     }
 
+    /** Takes note that a request was refused, or that it expired in the queue. */
+    fun overflowed(nowMs: Long) {
+        overflowedAtMs = nowMs
+    }
+
+    fun isOverflowing(nowMs: Long): Boolean = standingRefusal != null || nowMs - overflowedAtMs < OVERFLOW_MS
+
+    /** To be called after [waiting] changed: refuses from now on, or no longer. */
+    fun updateStandingRefusal(limit: Int, nowMs: Long) {
+        val full = waiting >= limit
+        if (!full && standingRefusal == null) return
+        if (full) overflowed(nowMs)
+        standingRefusal = if (full) ResultCode.QUEUE_FULL.toFault(retryAtMs = drainedAtMs(nowMs)) else null
+    }
+
     fun started(nowMs: Long) {
         starts.count(nowMs)
         inUse++
@@ -61,6 +84,7 @@
     private companion object {
         const val RATE_WINDOW_MS = 2_000.0
         const val USAGE_WINDOW_MS = 1_000.0
+        const val OVERFLOW_MS = 1_000L
         const val MIN_DEAD_ENTRIES = 64
         const val MIN_RATE_PER_MS = 1e-3
         const val MIN_RETRY_MS = 100L
--- a/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertInstanceOf
@@ -27,7 +28,7 @@
 import java.util.zip.CRC32
 
 class RequestProxyTest {
-    private val proxy = RequestProxy(Dispatchers.IO, System::currentTimeMillis)
+    private val proxy = RequestProxy(Dispatchers.Default, System::currentTimeMillis)
 
     @AfterEach
     fun close() = proxy.close()
@@ -158,6 +159,60 @@
         }
     }
 
+    @Test
+    fun `guards against a body that is buffered while the endpoint does not read, and is not let go with the caller`() {
+        val started = CompletableDeferred<Unit>()
+        val checked = CompletableDeferred<Unit>()
+        val seen = CompletableDeferred<Long?>()
+        val serve = { exchange: TestExchange ->
+            started.complete(Unit)
+            runBlocking { checked.await() }
+            seen.complete(exchange.readBody())
+            Unit
+        }
+        serving(serve) { endpoint ->
+            coroutineScope {
+                val body = ByteChannel()
+                val writer = launch { writePattern(body, 67_108_864, CRC32()) }
+                val call = launch { attempt(endpoint.address, request("POST", "/", body, 67_108_864)) }
+                started.await()
+                // Passing depends on the writer being blocked; the kernel's buffers take a few MiB only.
+                assertNull(withTimeoutOrNull(1_000) { writer.join() }, "the whole body was buffered")
+                call.cancelAndJoin()
+                writer.cancelAndJoin()
+                checked.complete(Unit)
+                assertNull(withTimeout(10_000) { seen.await() })
+            }
+        }
+    }
+
+    @Test
+    fun `guards against an answer that is buffered while the caller does not read`() {
+        val written = CompletableDeferred<Unit>()
+        val serve = { exchange: TestExchange ->
+            exchange.output.write("HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n".toByteArray())
+            repeat(1_024) { exchange.output.write(ByteArray(65_536)) }
+            written.complete(Unit)
+            Unit
+        }
+        serving(serve) { endpoint ->
+            val request = request()
+            val stuck = CompletableDeferred<Unit>()
+            val slow: Responder = { _, writeBody ->
+                val channel = ByteChannel()
+                stuck.complete(Unit)
+                writeBody(channel)
+            }
+            coroutineScope {
+                val body = ReplayableBody(request.body, 0, false)
+                val call = launch { proxy.attempt(endpoint.address, request, body, slow) }
+                stuck.await()
+                assertNull(withTimeoutOrNull(1_000) { written.await() }, "the whole answer was buffered")
+                call.cancelAndJoin()
+            }
+        }
+    }
+
     private suspend fun writePattern(body: ByteChannel, size: Long, sent: CRC32) {
         val block = ByteArray(65_536) { (it * 31).toByte() }
         var left = size
@@ -194,18 +249,33 @@
             assertEquals(false, answer.whole)
         }
 
+    /** Repeated, because the failure may meet the proxy between any two steps of its copying. */
     @ParameterizedTest
     @ValueSource(booleans = [true, false])
-    fun `guards against a broken body that reaches the endpoint as a whole one`(chunked: Boolean) {
+    fun `guards against a broken body that reaches the endpoint as a whole one or hangs the attempt`(chunked: Boolean) =
+        repeat(200) { breakBody(chunked) }
+
+    private fun breakBody(chunked: Boolean) {
+        val started = CompletableDeferred<Unit>()
         val received = CompletableDeferred<Long?>()
-        serving({ received.complete(it.readBody()) }) { endpoint ->
-            val body = ByteChannel()
-            body.writeFully(ByteArray(1_000))
-            body.flush()
-            body.close(IOException("connection reset"))
-            val end = attempt(endpoint.address, request("POST", "/", body, if (chunked) null else 5_000))
-            assertInstanceOf(AttemptEnd.CallerGone::class.java, end)
-            assertNull(withTimeout(10_000) { received.await() })
+        val serve = { exchange: TestExchange ->
+            started.complete(Unit)
+            received.complete(exchange.readBody())
+            Unit
+        }
+        serving(serve) { endpoint ->
+            coroutineScope {
+                val body = ByteChannel()
+                body.writeFully(ByteArray(1_000))
+                body.flush()
+                launch {
+                    started.await()
+                    body.close(IOException("connection reset"))
+                }
+                val end = attempt(endpoint.address, request("POST", "/", body, if (chunked) null else 5_000))
+                assertInstanceOf(AttemptEnd.CallerGone::class.java, end)
+                assertNull(withTimeout(10_000) { received.await() })
+            }
         }
     }
 
