Stop renewing leases of a worker that does not answer

Cause: heartbeats that failed still extended the lease that the owner assumed, so the parts of a lost worker were never given up; two tests of DataCentreJobsTest showed jobs QUEUED after 300 s. Change: no renewals after two failed calls in a row; part requeueing moved to PartRequeuer; the tests end their scopes.

--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobTracker.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/JobTracker.kt
@@ -26,6 +26,7 @@
 internal class JobTracker(private val context: JobsContext, private val outputs: TrackerOutputs) {
     private val jobs = LinkedHashMap<String, TrackedJob>()
     private val placer get() = context.placer
+    private val requeuer = PartRequeuer(context.placer, outputs)
 
     val openJobs: Collection<TrackedJob> get() = jobs.values
 
@@ -90,7 +91,7 @@
             TaskState.LEASE_EXPIRED -> lose(job, part, status.task)
             TaskState.STOPPED, TaskState.CHECKPOINTED, TaskState.REFUSED -> {
                 outputs.acknowledge(part.workerId, status.task)
-                giveBack(job, part)
+                requeuer.giveBack(job, part)
             }
         }
     }
@@ -119,7 +120,7 @@
         part.state = PartState.ENDED
         placer.partEnded(job.jobId, part.index, part.workerId, requeue = false)
         context.listeners.onPartSucceeded(part.workerId, job.jobId)
-        endIfComplete(job)
+        requeuer.endIfComplete(job)
     }
 
     private fun fail(job: TrackedJob, part: TrackedPart, status: TaskStatus) {
@@ -127,9 +128,9 @@
         context.listeners.onPartFailed(part.workerId, job.jobId)
         outputs.acknowledge(part.workerId, status.task)
         if (part.failures >= MAX_FAILURES || !job.record.submission.idempotent) {
-            endEarly(job, part, JobState.FAILED, ResultCode.TASK_FAILED)
+            requeuer.endEarly(job, part, JobState.FAILED, ResultCode.TASK_FAILED)
         } else {
-            giveBack(job, part)
+            requeuer.giveBack(job, part)
         }
     }
 
@@ -138,91 +139,21 @@
         outputs.acknowledge(part.workerId, task)
         part.mayHaveRun = true
         if (job.record.submission.idempotent) {
-            giveBack(job, part)
+            requeuer.giveBack(job, part)
         } else {
-            endEarly(job, part, JobState.UNKNOWN, ResultCode.LEASE_LOST)
+            requeuer.endEarly(job, part, JobState.UNKNOWN, ResultCode.LEASE_LOST)
         }
     }
 
     /** Puts a part that is on no worker any more back into the queue. */
-    fun giveBack(job: TrackedJob, part: TrackedPart) {
-        when {
-            job.isCancelled || job.startsTogether -> hold(job, part)
-            else -> {
-                part.state = PartState.PENDING
-                placer.partEnded(job.jobId, part.index, part.workerId, requeue = true)
-            }
-        }
-    }
-
-    /** Waits for the other parts: a gang starts again whole, and a cancelled job ends once no part runs. */
-    private fun hold(job: TrackedJob, part: TrackedPart) {
-        if (part.isOnWorker) placer.partEnded(job.jobId, part.index, part.workerId, requeue = false)
-        part.state = PartState.HELD
-        stopRunningParts(job)
-        if (job.parts.none { it.isOnWorker }) {
-            if (job.isCancelled) outputs.end(job, JobState.CANCELLED, cancelCode(job)) else restartGang(job)
-        }
-    }
+    fun giveBack(job: TrackedJob, part: TrackedPart) = requeuer.giveBack(job, part)
 
     /** Ends the wait for parts that no worker reported after a takeover. */
-    fun settleUnaccounted(job: TrackedJob) {
-        val missing = job.parts.filter { it.state == PartState.UNACCOUNTED }
-        if (missing.isEmpty() || job.isEnding) return
-        val isPartOfRunningGang = job.startsTogether && missing.size < job.parts.size
-        if (job.isCancelled || isPartOfRunningGang) {
-            missing.forEach { it.state = PartState.HELD }
-            hold(job, missing.first())
-        } else {
-            missing.forEach { it.state = PartState.PENDING }
-            placer.submit(job.toWorkItem()).onLeft { refuse(job, it.code) }
-        }
-    }
+    fun settleUnaccounted(job: TrackedJob) = requeuer.settleUnaccounted(job)
 
-    private fun restartGang(job: TrackedJob) {
-        job.parts.filter { it.state == PartState.HELD }.forEach { it.state = PartState.PENDING }
-        placer.submit(job.toWorkItem()).onLeft { refuse(job, it.code) }
-    }
-
-    /** Ends a job that can never be placed; one that may have run is not reported as "not run". */
-    fun refuse(job: TrackedJob, code: ResultCode) {
-        when {
-            !job.mayHaveRun -> outputs.end(job, JobState.REFUSED, code)
-            code == ResultCode.DEADLINE_PASSED -> placer.submit(job.toWorkItem()).onLeft { refuse(job, it.code) }
-            else -> outputs.end(job, JobState.UNKNOWN, ResultCode.OUTCOME_UNKNOWN)
-        }
-    }
-
-    private fun stopRunningParts(job: TrackedJob) = job.parts.filter { it.isOnWorker }.forEach {
-        outputs.order(it.workerId, TaskOrder(job.taskId(it), TaskAction.STOP))
-    }
-
-    private fun endEarly(job: TrackedJob, part: TrackedPart, state: JobState, code: ResultCode) {
-        part.state = PartState.ENDED
-        placer.partEnded(job.jobId, part.index, part.workerId, requeue = false)
-        placer.cancel(job.jobId)
-        stopRunningParts(job)
-        outputs.end(job, state, code)
-    }
-
-    private fun endIfComplete(job: TrackedJob) {
-        when {
-            job.parts.all { it.state == PartState.ENDED } -> outputs.end(job, JobState.SUCCEEDED, ResultCode.OK)
-            job.isCancelled && job.parts.none { it.isOnWorker } -> outputs.end(job, JobState.CANCELLED, cancelCode(job))
-        }
-    }
+    /** Ends a job that can never be placed. */
+    fun refuse(job: TrackedJob, code: ResultCode) = requeuer.refuse(job, code)
 
     /** Cancels a job: pending parts leave the queue at once, running ones are stopped. */
-    fun cancel(job: TrackedJob) {
-        if (job.isCancelled || job.isEnding) return
-        job.isCancelled = true
-        placer.cancel(job.jobId)
-        stopRunningParts(job)
-        val mayRunUnseen = job.parts.any { it.isOnWorker || it.state == PartState.UNACCOUNTED }
-        if (!mayRunUnseen) outputs.end(job, JobState.CANCELLED, cancelCode(job))
-    }
-
-    /** "Not run" is answered only if no part ever started. */
-    private fun cancelCode(job: TrackedJob): ResultCode =
-        if (job.mayHaveRun) ResultCode.CANCELLED_LATE else ResultCode.CANCELLED
+    fun cancel(job: TrackedJob) = requeuer.cancel(job)
 }
--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/TaskDispatcher.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/TaskDispatcher.kt
@@ -103,7 +103,9 @@
         if (context.mayAct()) exchange(session, starts = emptyList(), renewals = renewalsFor(session))
     }
 
+    /** A worker that does not answer gets no renewals, so that its leases end and its parts can start elsewhere. */
     private fun renewalsFor(session: WorkerSession): List<TaskRenewal> {
+        if (session.failedCalls >= FAILED_CALLS_LIMIT) return emptyList()
         val leaseUntilMs = context.clock() + TASK_LEASE_MS
         val parts = tracker.openJobs.flatMap { job -> job.parts.filter { it.isOn(session) }.map { job to it } }
         if (parts.isNotEmpty()) session.lastLeaseUntilMs = maxOf(session.lastLeaseUntilMs, leaseUntilMs)
--- a/jobs/src/test/kotlin/dev/bronzeshore/jobs/DataCentreJobsTest.kt
+++ b/jobs/src/test/kotlin/dev/bronzeshore/jobs/DataCentreJobsTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.advanceTimeBy
@@ -37,7 +38,9 @@
 
         /** Starts an owner whose right ends when [end] is called on its scope. */
         fun takeOver(actUntilMs: () -> Long = { Long.MAX_VALUE }): Pair<DataCentreJobs, CoroutineScope> {
-            val scope = CoroutineScope(test.backgroundScope.coroutineContext + SupervisorJob())
+            val scope = CoroutineScope(
+                test.backgroundScope.coroutineContext + SupervisorJob(test.backgroundScope.coroutineContext.job),
+            )
             val context = JobsContext(
                 authority = OwnerAuthority("ridge", ++term, clock(), { attempts++ }, actUntilMs),
                 clock = clock,
