--- a/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
@@ -87,8 +87,10 @@
     private val ownerService: OwnerService = OwnerService(dataCentres)
     private val jobRouter: JobRouter = JobRouter(gateway, ownerService, table) { configuration.current }
     private val proxy = RequestProxy(Dispatchers.IO, clock)
-    private val requestRouter: RequestRouter = RequestRouter(control, clock, proxy, Random.Default, askForSlots = { askForSlots() })
-    private val allotmentLoop: AllotmentLoop = AllotmentLoop(gateway, ownerService, requestRouter, dataCentres, self.processId)
+    private val requestRouter: RequestRouter =
+        RequestRouter(control, clock, proxy, Random.Default, askForSlots = { askForSlots() })
+    private val allotmentLoop: AllotmentLoop =
+        AllotmentLoop(gateway, ownerService, requestRouter, dataCentres, self.processId)
     private val refresher = ConfigurationRefresher(table, configuration)
     private val writer: ConfigurationWriter =
         ConfigurationWriter(table, clock, ::newWriteId, onAccepted = { publishConfiguration(it) })
@@ -121,7 +123,8 @@
         nextAttempt = { attempts++ },
     )
 
-    private fun callerContext(): CallerContext = CallerContext(clock, control, tokens, jobRouter, requestRouter, metrics, readiness)
+    private fun callerContext(): CallerContext =
+        CallerContext(clock, control, tokens, jobRouter, requestRouter, metrics, readiness)
 
     private fun operatorContext(): OperatorContext = OperatorContext(
         clock = clock,
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/sample/SampleWork.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/sample/SampleWork.kt
@@ -39,10 +39,18 @@
 
 private val sampleJobs = listOf(
     SampleJob("utility", JobSubmission("seasonPlan", Resources(8_000, 16 * GIB), declaredRunMs = 2_000)),
-    SampleJob("utility", JobSubmission("roster", Resources(4_000, 4 * GIB), 4, allAtOnce = true, declaredRunMs = 2_000)),
+    SampleJob(
+        "utility",
+        JobSubmission("roster", Resources(4_000, 4 * GIB), 4, allAtOnce = true, declaredRunMs = 2_000),
+    ),
     SampleJob(
         "solvgaard",
-        JobSubmission("exposureRender", Resources(16_000, 32 * GIB, 1), urgency = Urgency.URGENT, declaredRunMs = 3_000),
+        JobSubmission(
+            "exposureRender",
+            Resources(16_000, 32 * GIB, 1),
+            urgency = Urgency.URGENT,
+            declaredRunMs = 3_000,
+        ),
     ),
     SampleJob("solvgaard", JobSubmission("printSheet", Resources(2_000, 2 * GIB), declaredRunMs = 1_000)),
 )
@@ -90,7 +98,13 @@
                 val isWhole = response.status.isSuccess() && text == body
                 val place = response.headers["Stand-In-Endpoint"] ?: "-"
                 val result = if (isWhole) "answered" else "${response.status.value} $text"
-                return SampleResult(request.kind, place, response.headers["Bronzeshore-Wait-Ms"]?.toLong(), result, isWhole)
+                return SampleResult(
+                    request.kind,
+                    place,
+                    response.headers["Bronzeshore-Wait-Ms"]?.toLong(),
+                    result,
+                    isWhole,
+                )
             }
             delay(POLL_MS)
         }
@@ -119,8 +133,18 @@
     private suspend fun awaitEnd(job: SampleJob, jobId: String, giveUpAtMs: Long): SampleResult {
         while (true) {
             val response = client.get("$ENTRY_URL/v1/jobs/$jobId") { plan(job.plan) }
-            val view = if (response.status.isSuccess()) WireJson.decodeFromString<JobView>(response.bodyAsText()) else null
-            if (view?.record?.state?.isFinal == true || System.currentTimeMillis() > giveUpAtMs) return report(job, view)
+            val view = if (response.status.isSuccess()) {
+                WireJson.decodeFromString<JobView>(
+                    response.bodyAsText(),
+                )
+            } else {
+                null
+            }
+            if (view?.record?.state?.isFinal == true ||
+                System.currentTimeMillis() > giveUpAtMs
+            ) {
+                return report(job, view)
+            }
             delay(POLL_MS)
         }
     }
