Keep tasks without end running and hold early calls until all ports listen

Cause: a run time near the largest Long overflowed, so such a task ended at once; a call that arrived before all ports were known was answered with status 500. Change: end times are added without overflow; early calls wait; the command line reports any start fault in one line and exits with status 1 (2 for wrong arguments).

--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/Main.kt
@@ -10,7 +10,6 @@
 import org.kohsuke.args4j.spi.SubCommand
 import org.kohsuke.args4j.spi.SubCommandHandler
 import org.kohsuke.args4j.spi.SubCommands
-import java.io.IOException
 import kotlin.io.path.writeText
 import kotlin.system.exitProcess
 
@@ -41,10 +40,9 @@
         System.err.println(e.message)
         e.parser.printUsage(System.err)
         exitProcess(2)
-    } catch (e: IllegalArgumentException) {
-        exitWith(e)
-    } catch (e: IOException) {
-        exitWith(e)
+    } catch (e: Exception) {
+        System.err.println(e)
+        exitProcess(1)
     }
     println("ready")
     Thread.currentThread().join()
@@ -56,11 +54,6 @@
     command.addresses?.writeText(StrictJson.encodeToString(platform.addresses))
 }
 
-private fun exitWith(cause: Exception): Nothing {
-    System.err.println(cause)
-    exitProcess(1)
-}
-
 /** Keeps standard output free for `ready`, and gives each listening port the thread that Ktor's engine takes for it. */
 private fun configureRuntime() {
     System.setProperty("tinylog.writer", "console")
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/StandInHost.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/StandInHost.kt
@@ -15,6 +15,7 @@
 import io.ktor.server.request.path
 import io.ktor.server.request.receiveText
 import io.ktor.server.response.respondBytes
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.job
 import kotlinx.coroutines.runBlocking
@@ -41,21 +42,21 @@
     /** Real port of each stand-in. */
     val ports: Map<StandIn, Int>
 
-    @Volatile
-    private var standIns: Map<Int, StandIn> = emptyMap()
+    /** Stand-in by port, known once all ports listen; calls that arrive before wait for it. */
+    private val standIns = CompletableDeferred<Map<Int, StandIn>>()
 
     init {
         engine.start(wait = false)
         val listening = runBlocking { engine.engine.resolvedConnectors() }.map { it.port }
         val chosen = ArrayDeque(listening - servers.map { it.port }.toSet())
         ports = servers.associate { it.standIn to if (it.port == 0) chosen.removeFirst() else it.port }
-        standIns = ports.entries.associate { it.value to it.key }
+        standIns.complete(ports.entries.associate { it.value to it.key })
     }
 
     override fun close() = engine.stop(gracePeriodMillis = 0, timeoutMillis = STOP_MS)
 
     private suspend fun serve(call: ApplicationCall) {
-        val standIn = standIns.getValue(call.request.local.localPort)
+        val standIn = standIns.await().getValue(call.request.local.localPort)
         val path = call.request.path()
         val isControl = path.startsWith(CONTROL_PREFIX)
         val answer = try {
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/TaskRun.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/TaskRun.kt
@@ -9,7 +9,7 @@
 private class Ending(val atMs: Long, val state: TaskState)
 
 /** Knows when and how the task ends from its deadlines alone, so that no timer is needed. */
-internal class TaskRun(val start: TaskStart, val startedAtMs: Long, val fullUse: Resources, failsAtOnce: Boolean) {
+internal class TaskRun(val start: TaskStart, val startedAtMs: Long, fullUse: Resources, failsAtOnce: Boolean) {
     var leaseUntilMs: Long = start.leaseUntilMs
         private set
     var uses: List<UseSince> = listOf(UseSince(startedAtMs, fullUse))
@@ -49,10 +49,14 @@
     private fun throttle(nowMs: Long) {
         if (uses.size > 1) return
         uses = uses + UseSince(nowMs, use.copy(processorsMillicores = use.processorsMillicores / 2))
-        finish = Ending(finish.atMs + (finish.atMs - nowMs), finish.state)
+        finish = Ending(later(finish.atMs, finish.atMs - nowMs), finish.state)
     }
 
-    private fun finishAtMs(): Long = startedAtMs + start.runMs
+    private fun finishAtMs(): Long = later(startedAtMs, start.runMs)
+
+    /** Adds a period without overflow: a service may run for the longest time that fits its field. */
+    private fun later(atMs: Long, periodMs: Long): Long =
+        if (periodMs > Long.MAX_VALUE - atMs) Long.MAX_VALUE else atMs + periodMs
 
     private fun ending(): Ending {
         val lease = Ending(leaseUntilMs, TaskState.LEASE_EXPIRED)
--- a/stand-ins/src/test/kotlin/dev/bronzeshore/standins/WorkerTasksTest.kt
+++ b/stand-ins/src/test/kotlin/dev/bronzeshore/standins/WorkerTasksTest.kt
@@ -111,6 +111,12 @@
             Step(89, heartbeat, TaskState.RUNNING),
             Step(90, heartbeat, TaskState.SUCCEEDED),
         ),
+        Case(
+            "a task without end runs on, throttled or not",
+            Step(1, WorkerCommands(listOf(start.copy(runMs = Long.MAX_VALUE))), TaskState.RUNNING),
+            Step(10, throttle, TaskState.RUNNING),
+            Step(199, heartbeat, TaskState.RUNNING),
+        ),
         Case(
             "a task with the payload fail ends as failed",
             Step(0, WorkerCommands(listOf(start.copy(payload = "fail now"))), TaskState.RUNNING),
