Keep the plain best-fit score and test with usage reports

Cause: the uneven score was chosen in a trial outside the engine; in the engine the order of sizes decides and the score hardly matters. Size classes were off by one part in 32,000, which moved round sizes into the class below. Change: plain sum of left-over parts; exact classes; random runs also report usage and must disturb parts and start gangs; cancel wave in bench.

--- a/bench/src/main/kotlin/dev/bronzeshore/bench/Throughput.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/Throughput.kt
@@ -30,9 +30,27 @@
             }
         }
         sink(Figure("placements_per_second", placed * 1e9 / spentNs, "1/s", seed, "$WORKERS workers, $PARTS parts"))
+        cancelWave()
+    }
+
+    /** A third of a long queue is cancelled at once. */
+    private fun cancelWave() {
+        val feed = JobFeed(seed)
+        val feeder = Feeder({ PlacementEngine(it) }, runMsOf = { Long.MAX_VALUE / 2 })
+        feed.fleet(WORKERS).forEach { feeder.placer.putWorker(it) }
+        feeder.placer.setAllowances(
+            feed.allowances(Resources(Long.MAX_VALUE / 8, Long.MAX_VALUE / 8, Long.MAX_VALUE / 8)),
+        )
+        val jobs = List(QUEUED) { feed.job(feed.anyProfile(), feed.anySize(), feeder.nowMs, 60_000) }
+        jobs.forEach { feeder.submit(it) }
+        feeder.decideAll()
+        val wave = jobs.takeLast(QUEUED / 3).shuffled(feed.random)
+        val spentNs = timed { wave.forEach { feeder.placer.cancel(it.jobId) } }
+        sink(Figure("cancel_mean", spentNs / 1e3 / wave.size, "us", seed, "${wave.size} of $QUEUED queued jobs"))
     }
 
     private companion object {
+        const val QUEUED = 30_000
         const val WORKERS = 800
         const val PARTS = 4_600
         const val BURST = 64
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/FitScore.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/FitScore.kt
@@ -8,18 +8,16 @@
     private const val SCALE: Long = 1_000_000
 
     /**
-     * Best fit: little room left over, and in the same proportion of processors and memory.
+     * Best fit: the least room left over, as parts of the worker's capacity, summed over the dimensions.
      *
-     * Room of only one dimension is of no use to later work, so the larger left-over part counts with 3/2 and the
-     * smaller one with -1/2. docs/decisions/0002-placement-policy.md has the alternatives that were measured.
+     * docs/decisions/0002-placement-policy.md has the scores that were measured and did no better.
      */
     fun tight(room: WorkerRoom, size: Resources): Long {
         val free = room.free
         val capacity = room.capacity
-        val processors = leftOver(free.processorsMillicores, size.processorsMillicores, capacity.processorsMillicores)
-        val memory = leftOver(free.memoryBytes, size.memoryBytes, capacity.memoryBytes)
-        val uneven = maxOf(processors, memory) + (maxOf(processors, memory) - minOf(processors, memory)) / 2
-        return uneven + leftOver(free.accelerators, size.accelerators, capacity.accelerators)
+        return leftOver(free.processorsMillicores, size.processorsMillicores, capacity.processorsMillicores) +
+            leftOver(free.memoryBytes, size.memoryBytes, capacity.memoryBytes) +
+            leftOver(free.accelerators, size.accelerators, capacity.accelerators)
     }
 
     /** Best fit among the racks that hold the fewest parts of the same job; [partsInRack] counts them. */
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/FleetCapacity.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/FleetCapacity.kt
@@ -29,7 +29,13 @@
         return magnitude * 2 + if (isUpperHalf) 1 else 0
     }
 
-    private fun partOf(size: Long, total: Long): Long = if (total == 0L) 0 else size * PARTS / (total / workerCount + 1)
+    private fun partOf(size: Long, total: Long): Long = if (total ==
+        0L
+    ) {
+        0
+    } else {
+        size * PARTS / maxOf(1, total / workerCount)
+    }
 
     fun change(capacity: Resources, workers: Int) {
         if (capacity == Resources.NONE) return
--- a/placement/src/test/kotlin/dev/bronzeshore/placement/RandomRunTest.kt
+++ b/placement/src/test/kotlin/dev/bronzeshore/placement/RandomRunTest.kt
@@ -12,7 +12,10 @@
 import kotlin.random.Random
 
 /**
- * 20,000 random operations for each of four seeds: submissions, cancellations, ends, lost workers and rounds.
+ * 20,000 random operations for each of six seeds: submissions, cancellations, ends, lost workers and rounds.
+ *
+ * Seeds 5 and 6 also report usage, so that charges differ from declared sizes; processors may then be given out
+ * beyond the declared sizes, memory and accelerators may not.
  *
  * Guards against a worker over its capacity, a plan over its limit, a part that runs twice, a gang that starts in
  * pieces and a part that is disturbed more than twice an hour, whatever the order of events.
@@ -23,7 +26,8 @@
     }
 
     private val clock = FakeClock()
-    private val engine = PlacementEngine({ clock.nowMs }, learnUsage = false)
+    private var reports = false
+    private val engine = PlacementEngine({ clock.nowMs })
     private val capacities = HashMap<String, Resources>()
     private val items = HashMap<String, WorkItem>()
     private val running = LinkedHashMap<Placed, Run>()
@@ -33,9 +37,10 @@
     private data class Placed(val jobId: String, val part: Int)
 
     @ParameterizedTest
-    @ValueSource(ints = [1, 2, 3, 4])
+    @ValueSource(ints = [1, 2, 3, 4, 5, 6])
     fun `invariants hold after each of 20,000 random operations`(seed: Int) {
         val random = Random(seed)
+        reports = seed > 4
         engine.setAllowances(limits.map { (plan, limit) -> allowance(plan, limit, weight = 1 + plan.length) })
         repeat(20) { putWorker(it, accepting = true, random) }
         repeat(OPERATIONS) { step ->
@@ -44,7 +49,7 @@
             if (random.nextInt(3) == 0) decide()
             checkRoom()
         }
-        assertTrue(running.isNotEmpty())
+        assertTrue(startedGangs.size > 100 && disturbed.size > 100) { "the run has to disturb parts and start gangs" }
     }
 
     private fun act(step: Int, random: Random) {
@@ -52,7 +57,8 @@
             in 0..34 -> submit("j$step", random)
             in 35..84 -> running.keys.randomOrNull(random)?.let { end(it, requeue = random.nextInt(10) == 0) }
             in 85..92 -> items.keys.randomOrNull(random)?.let { engine.cancel(it) }
-            in 93..96 -> putWorker(random.nextInt(20), random.nextBoolean(), random)
+            in 93..95 -> putWorker(random.nextInt(20), random.nextBoolean(), random)
+            96 -> if (reports) running.values.forEach { reportUsage(it, random) }
             97 -> loseWorker("w${random.nextInt(20)}")
             else -> putWorker(random.nextInt(20), accepting = true, random)
         }
@@ -119,6 +125,11 @@
         engine.partEnded(key.jobId, key.part, run.workerId, requeue)
     }
 
+    private fun reportUsage(run: Run, random: Random) {
+        val used = Resources(random.nextLong(run.item.size.processorsMillicores), run.item.size.memoryBytes / 2)
+        engine.reportUsage(run.item.jobId, run.part, run.workerId, used)
+    }
+
     private fun putWorker(number: Int, accepting: Boolean, random: Random) {
         val id = "w$number"
         val capacity = capacities[id] ?: Resources(8_000, 8 * GIB, random.nextLong(2))
@@ -134,7 +145,8 @@
     private fun checkRoom() {
         for ((workerId, runs) in running.values.groupBy { it.workerId }) {
             val sum = runs.fold(Resources.NONE) { sum, run -> sum + run.item.size }
-            assertTrue(sum.fitsIn(capacities.getValue(workerId))) { "$workerId is over its capacity" }
+            val counted = if (reports) sum.copy(processorsMillicores = 0) else sum
+            assertTrue(counted.fitsIn(capacities.getValue(workerId))) { "$workerId is over its capacity" }
         }
         for ((plan, runs) in running.values.groupBy { it.item.plan }) {
             val sum = runs.fold(Resources.NONE) { sum, run -> sum + run.item.size }
