Measure shares without the work that preemption repeats

Cause: a preempted part ran again in full in bench, so lost work counted as share kept; shares were measured between kinds of one plan only. Change: a checkpointed part runs for what is left; the flood is measured between kinds and between plans.

--- a/bench/src/main/kotlin/dev/bronzeshore/bench/Feeder.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/Feeder.kt
@@ -13,10 +13,14 @@
 internal class Running(val item: WorkItem, val placement: Placement, val startedAtMs: Long, var endsAtMs: Long) {
     var ended: Boolean = false
     var requeue: Boolean = false
+
+    /** When the part would have ended without being preempted. */
+    val plannedEndMs: Long = endsAtMs
 }
 
 /**
- * Keeps the time, ends parts when their run time is over, and stops preempted parts after [stopMs].
+ * Keeps the time, ends parts when their run time is over, and checkpoints preempted parts after [stopMs]: their next
+ * run takes what is left.
  *
  * [runMsOf] is the real run time of a part, which may differ from the declared one.
  */
@@ -30,6 +34,7 @@
     val placer: WorkPlacer = makePlacer { nowMs }
     private val ends = PriorityQueue<Running>(compareBy<Running> { it.endsAtMs })
     private val running = HashMap<String, Running>()
+    private val remainingMs = HashMap<String, Long>()
     private val items = HashMap<String, WorkItem>()
 
     /** Called for each start and each end. */
@@ -68,8 +73,9 @@
     fun apply(decisions: Decisions) {
         for (placement in decisions.placements) {
             val item = items.getValue(placement.jobId)
-            val started = Running(item, placement, nowMs, nowMs + runMsOf(item))
-            running[keyOf(placement.jobId, placement.part)] = started
+            val key = keyOf(placement.jobId, placement.part)
+            val started = Running(item, placement, nowMs, nowMs + (remainingMs.remove(key) ?: runMsOf(item)))
+            running[key] = started
             ends.add(started)
             waitingCount--
             onStart(started)
@@ -107,7 +113,10 @@
     private fun end(part: Running) {
         part.ended = true
         running.remove(keyOf(part.placement.jobId, part.placement.part))
-        if (part.requeue) waitingCount++
+        if (part.requeue) {
+            waitingCount++
+            remainingMs[keyOf(part.placement.jobId, part.placement.part)] = part.plannedEndMs - nowMs
+        }
         onEnd(part)
         placer.partEnded(part.placement.jobId, part.placement.part, part.placement.workerId, part.requeue)
     }
--- a/bench/src/main/kotlin/dev/bronzeshore/bench/FloodShare.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/FloodShare.kt
@@ -1,6 +1,7 @@
 /** What other kinds keep of their share while one kind asks for ten times the cell. */
 package dev.bronzeshore.bench
 
+import dev.bronzeshore.core.Allowance
 import dev.bronzeshore.core.PlacementWorker
 import dev.bronzeshore.core.Policy
 import dev.bronzeshore.core.Resources
@@ -10,18 +11,36 @@
 
 internal class FloodShare(private val seed: Long, private val sink: FigureSink) {
     /** A kind with its demand as parts of its equal share; [flood] is replaced by a demand of ten cells. */
-    private class Demand(val plan: String, val kind: String, val ofShare: Double, val urgency: Urgency)
+    private class Demand(val kind: String, val ofShare: Double, val urgency: Urgency)
 
     fun run() {
+        isByPlan = false
+        runAll("kinds")
+        isByPlan = true
+        runAll("plans")
+    }
+
+    /** True to give each kind a plan of its own, so that shares between plans are measured. */
+    private var isByPlan: Boolean = false
+
+    private fun runAll(level: String) {
         val alone = useByKind(flood = null)
         for (flood in listOf(Urgency.PATIENT, Urgency.URGENT)) {
             val flooded = useByKind(flood)
             val inUse = flooded.values.sum() / (shareCoreMs() * KINDS)
-            sink(Figure("cell_used_in_${flood.name.lowercase()}_flood", inUse, "ratio", seed, "$WORKERS workers"))
+            sink(
+                Figure(
+                    "cell_used_by_${level}_in_${flood.name.lowercase()}_flood",
+                    inUse,
+                    "ratio",
+                    seed,
+                    "$WORKERS workers",
+                ),
+            )
             for (demand in OTHERS) {
                 val entitled = minOf(alone.getValue(demand.kind), shareCoreMs())
                 val kept = flooded.getValue(demand.kind) / entitled
-                val name = "share_kept_in_${flood.name.lowercase()}_flood_${demand.kind}"
+                val name = "share_kept_by_${level}_in_${flood.name.lowercase()}_flood_${demand.kind}"
                 sink(Figure(name, kept, "ratio", seed, "$WORKERS workers, flood of 10 cells"))
             }
         }
@@ -36,7 +55,7 @@
         repeat(WORKERS) { feeder.placer.putWorker(PlacementWorker("w$it", "r${it / 8}", WORKER, true)) }
         val feeds = OTHERS.associateWith { JobFeed(seed + it.kind.hashCode()) }
         val floodFeed = JobFeed(seed)
-        feeder.placer.setAllowances(JobFeed(seed, PLANS).allowances(WORKER * WORKERS))
+        feeder.placer.setAllowances((OTHERS.map { it.kind } + FLOOD_KIND).map { allowanceOf(planOf(it)) }.distinct())
         var floodDebt = 0.0
         val debts = HashMap<Demand, Double>()
         while (feeder.nowMs < WINDOW_END_MS) {
@@ -45,7 +64,7 @@
                 debts[demand] = debt - submitWorth(feeder, feed, demand, debt)
             }
             if (flood != null) {
-                val demand = Demand("plan0", FLOOD_KIND, 0.0, flood)
+                val demand = Demand(FLOOD_KIND, 0.0, flood)
                 floodDebt += FLOOD_CELLS * cores() * STEP_MS
                 floodDebt -= submitWorth(feeder, floodFeed, demand, floodDebt)
             }
@@ -63,7 +82,7 @@
         while (worth < coreMs) {
             val size = Resources(step * 1_000L, step * 2 * GIB)
             val runMs = feed.random.nextLong(SHORTEST_MS, LONGEST_MS)
-            val profile = JobProfile(demand.plan, kind, demand.urgency)
+            val profile = JobProfile(planOf(demand.kind), kind, demand.urgency)
             feeder.submit(feed.job(profile, size, feeder.nowMs, runMs).let { it.copy(jobId = demand.kind + it.jobId) })
             worth += step.toDouble() * runMs
         }
@@ -78,7 +97,11 @@
 
     /** A preempted part ran for less than was counted at its start. */
     private fun correction(part: Running): Double =
-        withinWindow(part, part.endsAtMs) - withinWindow(part, part.startedAtMs + part.item.declaredRunMs)
+        withinWindow(part, part.endsAtMs) - withinWindow(part, part.plannedEndMs)
+
+    private fun planOf(kind: String): String = if (isByPlan) "plan-$kind" else "plan"
+
+    private fun allowanceOf(plan: String): Allowance = Allowance(plan, "dc", WORKER * WORKERS)
 
     private fun cores(): Double = WORKERS * WORKER.processorsMillicores / 1_000.0
 
@@ -87,7 +110,6 @@
     private companion object {
         const val WORKERS = 100
         val WORKER = Resources(32_000, 128 * GIB)
-        const val PLANS = 1
         const val FLOOD_KIND = "flood"
         const val FLOOD_CELLS = 10.0
         const val FLOOD_CORES = 1
@@ -98,10 +120,10 @@
         const val WINDOW_START_MS = Feeder.START_MS + 120_000
         const val WINDOW_END_MS = Feeder.START_MS + 420_000
         val OTHERS = listOf(
-            Demand("plan0", "half", 0.5, Urgency.NORMAL),
-            Demand("plan0", "most", 0.9, Urgency.PATIENT),
-            Demand("plan0", "double", 2.0, Urgency.NORMAL),
-            Demand("plan0", "urgent", 0.9, Urgency.URGENT),
+            Demand("half", 0.5, Urgency.NORMAL),
+            Demand("most", 0.9, Urgency.PATIENT),
+            Demand("double", 2.0, Urgency.NORMAL),
+            Demand("urgent", 0.9, Urgency.URGENT),
         )
         val KINDS = OTHERS.size + 1
     }
