--- a/requests/src/main/kotlin/dev/bronzeshore/requests/AdmissionQueue.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/AdmissionQueue.kt
@@ -91,15 +91,13 @@
     /** Queues a request, or returns the fault with which it is refused. A free slot is given out at once. */
     public fun enqueue(request: QueuedRequest): Fault? {
         val fault = refusalOf(request.plan, request.kind, request.service)
-        if (fault == null) add(request)
-        return fault
+        return fault ?: addInTime(request)
     }
 
     /** Queues a request again that was admitted before and could not be sent; no bound applies. */
     public fun requeue(request: QueuedRequest): Fault? {
         if (plans[request.plan]?.kinds?.get(request.kind)?.service != request.service) return UNKNOWN_KIND
-        add(request)
-        return null
+        return addInTime(request)
     }
 
     /** Removes a waiting request without a decision; returns false if it was decided before. */
@@ -123,9 +121,10 @@
     /** To be called after allotments or the set of leaving endpoints changed. */
     public fun slotsChanged(): Unit = lanes.keys.forEach { dispatch(it) }
 
-    /** To be called several times a second: refuses requests whose latest start has passed. */
+    /** To be called several times a second: drops requests and slots whose deadline has passed. */
     public fun tick() {
         val nowMs = clock()
+        pool.dropExpired()
         for (queue in lanes.values.flatten()) {
             dropExpired(queue, nowMs)
             queue.updateStandingRefusal(limits.waitingPerKind, nowMs)
@@ -139,6 +138,12 @@
     /** Service and plan of all configured kinds. */
     internal fun laneKeys(): Set<LaneKey> = lanes.keys
 
+    private fun addInTime(request: QueuedRequest): Fault? {
+        if (clock() > request.startBeforeMs) return DEADLINE_PASSED
+        add(request)
+        return null
+    }
+
     private fun add(request: QueuedRequest) {
         val queues = plans.getValue(request.plan)
         val queue = queues.kinds.getValue(request.kind)
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/AllotmentLedger.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/AllotmentLedger.kt
@@ -45,10 +45,11 @@
         val holder = holders.getOrPut(request.processId) { SlotHolder(request.processId) }
         if (!holder.report(request, nowMs)) return Allotments(emptyList())
         val usage = SlotUsage(holders.values)
+        val demands = DemandTotals(holders.values)
         val granted = LinkedHashMap<SlotKey, Int>()
         for ((service, demand) in request.demand.groupBy { it.service }) {
             val placer = SlotPlacer(endpointsOf(service), holder, usage)
-            val shares = sharesOf(service, request.processId)
+            val shares = sharesOf(service, request.processId, demands)
             for (plan in demand.map { it.plan }.distinct()) {
                 val allowed = allowances[plan]?.slots ?: 0
                 granted += placer.place(plan, shares[plan] ?: 0, allowed)
@@ -78,26 +79,38 @@
     private fun endpointsOf(service: String): List<EndpointSlots> =
         endpoints.values.filter { it.service == service && !it.leaving }
 
-    private fun sharesOf(service: String, processId: String): Map<String, Int> {
-        val wants = holders.values.flatMap { holder -> wantsOf(holder, service) }
+    private fun sharesOf(service: String, processId: String, demand: DemandTotals): Map<String, Int> {
+        val wants = holders.values.flatMap { holder -> wantsOf(holder, service, demand) }
         ShareDivider(endpointsOf(service).sumOf { it.slots }, wants).divide()
         return wants.filter { it.processId == processId }.associate { it.plan to it.share }
     }
 
-    private fun wantsOf(holder: SlotHolder, service: String): List<ShareWant> = holder.demand
+    private fun wantsOf(holder: SlotHolder, service: String, demand: DemandTotals): List<ShareWant> = holder.demand
         .filter { it.service == service && it.plan in allowances }
         .distinctBy { it.plan }
-        .map { demand ->
-            val allowance = allowances.getValue(demand.plan)
-            val allowed = allowedAt(service, allowance)
-            ShareWant(holder.processId, demand.plan, demand.wanted, maxOf(1, allowance.weight), allowed)
+        .map { wanted ->
+            val allowance = allowances.getValue(wanted.plan)
+            val allowed = demand.allowedAt(service, allowance)
+            ShareWant(holder.processId, wanted.plan, wanted.wanted, maxOf(1, allowance.weight), allowed)
         }
 
-    /** Splits a plan's allowance between the services that it asks for, by demand. */
-    private fun allowedAt(service: String, allowance: Allowance): Int {
-        val demand = holders.values.flatMap { it.demand }.filter { it.plan == allowance.plan }
-        val total = demand.sumOf { it.wanted + 1L }
-        val here = demand.filter { it.service == service }.sumOf { it.wanted + 1L }
-        return -Math.floorDiv(-allowance.slots * here, maxOf(1L, total)).toInt()
+    /** Demand of all processes, by which a plan's allowance is split between the services that it asks for. */
+    private class DemandTotals(holders: Collection<SlotHolder>) {
+        private val byPlan = HashMap<String, Long>()
+        private val byLane = HashMap<LaneKey, Long>()
+
+        init {
+            for (demand in holders.flatMap { it.demand }) {
+                // The standing slot of an idle process counts as demand for one.
+                byPlan.merge(demand.plan, demand.wanted + 1L, Long::plus)
+                byLane.merge(LaneKey(demand.service, demand.plan), demand.wanted + 1L, Long::plus)
+            }
+        }
+
+        fun allowedAt(service: String, allowance: Allowance): Int {
+            val here = byLane[LaneKey(service, allowance.plan)] ?: 0L
+            val total = byPlan[allowance.plan] ?: 1L
+            return -Math.floorDiv(-allowance.slots * here, total).toInt()
+        }
     }
 }
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/AttemptEnd.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/AttemptEnd.kt
@@ -6,7 +6,7 @@
     public data class Answered(public val status: Int, public val firstByteAtMs: Long) : AttemptEnd
 
     /** No byte was sent: the request has not run and may go to another endpoint. */
-    public data class NotSent(public val reason: String) : AttemptEnd
+    public data class NotSent(public val reason: String, public val isReachable: Boolean = false) : AttemptEnd
 
     /** The connection broke after the request was sent, at least in part, and before the answer began. */
     public data class Unanswered(public val reason: String) : AttemptEnd
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/HeldSlots.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/HeldSlots.kt
@@ -16,7 +16,9 @@
 }
 
 /** A slot in use by one request, until it is given back to the pool. */
-public class SlotLease internal constructor(internal val held: HeldSlots, internal val takenAtMs: Long) {
+public class SlotLease internal constructor(internal val held: HeldSlots) {
+    /** The request must be sent before; a later renewal of the grant does not move it. */
+    public val sendBeforeMs: Long = held.untilMs
     internal var released: Boolean = false
 
     public val endpointId: String get() = held.key.endpointId
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/QueuedRequest.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/QueuedRequest.kt
@@ -12,7 +12,12 @@
     public data class Refused(public val fault: Fault) : AdmissionDecision
 }
 
-/** A request in an [AdmissionQueue]; [onDecision] is called once, unless the request is cancelled before. */
+/**
+ * A request in an [AdmissionQueue].
+ *
+ * [onDecision] is called once, unless the request is cancelled before. It runs within a call of the queue and must not
+ * call the queue itself.
+ */
 public class QueuedRequest(
     public val plan: String,
     public val kind: String,
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/RequestProxy.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RequestProxy.kt
@@ -29,10 +29,12 @@
 
     override fun close(): Unit = selector.close()
 
+    /** Sends the request unless [sendByMs] has passed by the time that the connection is open. */
     internal suspend fun attempt(
         address: String,
         request: IncomingRequest,
         body: ReplayableBody,
+        sendByMs: Long,
         responder: Responder,
     ): AttemptEnd {
         val socket =
@@ -42,6 +44,11 @@
                 currentCoroutineContext().ensureActive()
                 return AttemptEnd.NotSent(failure.toString())
             }
+        // Connecting takes time, and this process may have been paused.
+        if (clock() > sendByMs) {
+            socket.close()
+            return AttemptEnd.NotSent("the deadline passed before the request was sent", isReachable = true)
+        }
         return Exchange(EndpointConnection(socket), address, request, body, responder).run()
     }
 
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/RequestRouter.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RequestRouter.kt
@@ -91,8 +91,9 @@
     /**
      * Streams a request to an endpoint and its answer to [responder].
      *
-     * A left result with outcome `NOT_RUN` means that no byte was sent to any endpoint; the body is then unread. A
-     * cancelled caller gives its slot back and closes its connection to the endpoint.
+     * A left result with outcome `NOT_RUN` means that no byte was sent to any endpoint; the body is then unread. If the
+     * result is left although [responder] was called, the caller has a part of an answer and its connection must be
+     * closed. A cancelled caller gives its slot back and closes its connection to the endpoint.
      */
     public suspend fun route(request: IncomingRequest, responder: Responder): Either<Fault, RouteReport> {
         if (!request.isWellFormed()) return ResultCode.INVALID_VALUE.toFault("method, path or header").left()
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/RouteDecisions.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RouteDecisions.kt
@@ -57,7 +57,9 @@
                 retries.succeeded()
             }
 
-            is AttemptEnd.NotSent, is AttemptEnd.Unanswered -> latency.failed(lease.endpointId)
+            is AttemptEnd.NotSent -> if (!end.isReachable) latency.failed(lease.endpointId)
+
+            is AttemptEnd.Unanswered -> latency.failed(lease.endpointId)
 
             is AttemptEnd.AnswerBroken, is AttemptEnd.CallerGone -> Unit
         }
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/RoutedRequest.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RoutedRequest.kt
@@ -53,7 +53,8 @@
             val sentAtMs = decisions.clock()
             waitedMs += sentAtMs - queuedAtMs
             if (sentAtMs > startBeforeMs) return ResultCode.DEADLINE_PASSED.toFault().left()
-            val end = proxy.attempt(lease.address, request, body, responder)
+            val sendByMs = minOf(startBeforeMs, lease.sendBeforeMs - 1)
+            val end = proxy.attempt(lease.address, request, body, sendByMs, responder)
             if (end !is AttemptEnd.NotSent) mayHaveRun = true
             return withContext(NonCancellable + control) {
                 held = null
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/ShareDivider.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/ShareDivider.kt
@@ -1,6 +1,8 @@
 /** Divides the slots of one service between processes and plans. */
 package dev.bronzeshore.requests
 
+import java.util.PriorityQueue
+
 /** What one process wants for one plan; [allowed] bounds the plan's sum over all processes. */
 internal class ShareWant(val processId: String, val plan: String, val wanted: Int, val weight: Int, val allowed: Int) {
     /** Slots assigned so far. */
@@ -14,8 +16,14 @@
  * share for its weight first. Half of what is left is spread so that every process has about the same spare; the
  * other half stays with the owner and is granted to whoever asks next, without waiting for another process's refresh.
  */
-internal class ShareDivider(private val capacity: Int, private val wants: List<ShareWant>) {
-    private val planShares = HashMap<String, Int>()
+internal class ShareDivider(private val capacity: Int, wants: List<ShareWant>) {
+    private class PlanShares(val wants: List<ShareWant>) {
+        val weight = wants.first().weight
+        val allowed = wants.first().allowed
+        var share = 0
+    }
+
+    private val plans = wants.groupBy { it.plan }.values.map { PlanShares(it) }
     private var free = capacity
 
     fun divide() {
@@ -26,21 +34,26 @@
     }
 
     private fun assign(slots: Int, limit: (ShareWant) -> Int, level: (ShareWant) -> Int) {
+        val byShare = PriorityQueue(compareBy<PlanShares> { it.share.toDouble() / it.weight })
+        byShare.addAll(plans)
+        val byLevel = plans.associateWith { plan -> PriorityQueue(compareBy(level)).also { it.addAll(plan.wants) } }
         var left = slots
-        val open = wants.toMutableList()
         while (left > 0) {
-            open.removeAll { it.share >= limit(it) || planShare(it) >= it.allowed }
-            val next = open.minWithOrNull(compareBy<ShareWant> { planShare(it).toDouble() / it.weight }.thenBy(level))
-            if (next == null) return
-            next.share++
-            planShares.merge(next.plan, 1, Int::plus)
-            free--
-            left--
+            val plan = byShare.poll() ?: return
+            if (plan.share >= plan.allowed) continue
+            val wants = byLevel.getValue(plan)
+            val want = wants.poll() ?: continue
+            if (want.share < limit(want)) {
+                want.share++
+                plan.share++
+                free--
+                left--
+                wants.add(want)
+            }
+            byShare.add(plan)
         }
     }
 
-    private fun planShare(want: ShareWant): Int = planShares[want.plan] ?: 0
-
     private companion object {
         /** Standing slots take at most a quarter of a service, so that many idle plans do not displace demand. */
         const val STANDING_DIVISOR = 4
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPool.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPool.kt
@@ -55,7 +55,7 @@
             val free = entry.isFree(nowMs)
             if (free) changeInUse(entry, 1)
             lane.update(entry, nowMs)
-            if (free) return SlotLease(entry, nowMs)
+            if (free) return SlotLease(entry)
         }
         return null
     }
@@ -93,6 +93,15 @@
         held.values.toList().forEach { updateEntry(it, clock()) }
     }
 
+    /** Forgets slots whose deadline has passed, so that they no longer count as granted. */
+    internal fun dropExpired() {
+        val nowMs = clock()
+        for (entry in held.values.filter { nowMs >= it.untilMs }) {
+            entry.lane.setSlots(entry, 0)
+            updateEntry(entry, nowMs)
+        }
+    }
+
     /** The request that asks a data centre's owner for slots. */
     public fun request(dataCentre: String, processId: String, demand: List<SlotDemand>): AllotmentRequest {
         // Follows the clock so that a restarted process continues above the numbers it used before.
--- a/requests/src/test/kotlin/dev/bronzeshore/requests/AdmissionQueueTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/AdmissionQueueTest.kt
@@ -70,6 +70,7 @@
         nowMs += 2
         queue.tick()
         assertEquals(2, refused.size)
+        assertEquals(ResultCode.DEADLINE_PASSED, enqueue(startBeforeMs = nowMs - 1)?.code)
     }
 
     @Test
--- a/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
@@ -77,7 +77,7 @@
 
     private suspend fun attempt(address: String, request: IncomingRequest, answer: Answer = Answer()): AttemptEnd {
         val body = ReplayableBody(request.body, request.contentLength, keep = false)
-        return withTimeout(60_000) { proxy.attempt(address, request, body, responder(answer)) }
+        return withTimeout(60_000) { proxy.attempt(address, request, body, Long.MAX_VALUE, responder(answer)) }
     }
 
     private fun serving(serve: (TestExchange) -> Unit, test: suspend (TestEndpoint) -> Unit) {
@@ -205,7 +205,7 @@
             }
             coroutineScope {
                 val body = ReplayableBody(request.body, 0, false)
-                val call = launch { proxy.attempt(endpoint.address, request, body, slow) }
+                val call = launch { proxy.attempt(endpoint.address, request, body, Long.MAX_VALUE, slow) }
                 stuck.await()
                 assertNull(withTimeoutOrNull(1_000) { written.await() }, "the whole answer was buffered")
                 call.cancelAndJoin()
@@ -233,6 +233,14 @@
         Unit
     }
 
+    @Test
+    fun `guards against a request that is sent after its deadline`() = serving({ it.answer("late") }) { endpoint ->
+        val body = ReplayableBody(ByteReadChannel.Empty, 0, false)
+        val end = proxy.attempt(endpoint.address, request(), body, System.currentTimeMillis() - 1, responder(Answer()))
+        assertInstanceOf(AttemptEnd.NotSent::class.java, end)
+        assertEquals(0, endpoint.requestLines.size)
+    }
+
     @Test
     fun `guards against a lost answer that is taken as not run`() = serving({ it.readBody() }) { endpoint ->
         assertInstanceOf(AttemptEnd.Unanswered::class.java, attempt(endpoint.address, request()))
@@ -306,7 +314,8 @@
         serving({ it.answer("hello") }) { endpoint ->
             val failing: Responder = { _, _ -> throw IOException("broken pipe") }
             val request = request()
-            val end = proxy.attempt(endpoint.address, request, ReplayableBody(request.body, 0, false), failing)
+            val body = ReplayableBody(request.body, 0, false)
+            val end = proxy.attempt(endpoint.address, request, body, Long.MAX_VALUE, failing)
             assertInstanceOf(AttemptEnd.CallerGone::class.java, end)
         }
 
