--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/RepositoryFiles.kt
@@ -0,0 +1,25 @@
+/** Finds files of the repository from the directory in which the tests of a module run. */
+package dev.bronzeshore.server
+
+import java.nio.file.Files
+import java.nio.file.Path
+
+internal object RepositoryFiles {
+    /** The nearest directory above the working directory that holds the wrapper of the `bronzeshore` binary. */
+    val root: Path = generateSequence(Path.of("").toAbsolutePath()) { it.parent }
+        .first { Files.exists(it.resolve("bin/bronzeshore")) }
+
+    fun text(path: String): String = Files.readString(root.resolve(path))
+
+    fun exists(path: String): Boolean = Files.exists(root.resolve(path))
+
+    /** All regular files below [directory] whose path relative to the root matches [wanted], in order. */
+    fun below(directory: String, wanted: (path: String) -> Boolean): List<String> =
+        Files.walk(root.resolve(directory)).use { paths ->
+            paths.filter { Files.isRegularFile(it) }
+                .map { root.relativize(it).toString() }
+                .filter { wanted(it) }
+                .sorted()
+                .toList()
+        }
+}
