Test the dependencies between modules

Cause: the rule that feature modules depend on core only was checked by nobody. Change: ModuleGraphTest reads the poms and the imports of main sources.

--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/ModuleGraphTest.kt
@@ -0,0 +1,88 @@
+/** Checks the rules of the design page for dependencies between modules. */
+package dev.bronzeshore.server
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Guards against feature modules that come to depend on each other, and against test helpers in what is shipped. */
+class ModuleGraphTest {
+    private val graph = ModuleGraph.ofRepository()
+
+    @Test
+    fun `the rules below cover every feature module`() {
+        assertEquals((FEATURE_MODULES + OTHER_MODULES).toSortedSet(), graph.modules.toSortedSet())
+    }
+
+    @ParameterizedTest
+    @MethodSource("featureModules")
+    fun `a feature module depends on core only`(module: String) {
+        val other = graph.dependenciesOf(module).map { it.module } - "core"
+        assertTrue(other.isEmpty()) { "$module/pom.xml names $other" }
+    }
+
+    @ParameterizedTest
+    @MethodSource("featureModules")
+    fun `a feature module imports packages of core only`(module: String) {
+        val other = graph.importsOf(module).filter { it.to != "core" }
+        assertTrue(other.isEmpty()) { "imports of other modules: $other" }
+    }
+
+    @Test
+    fun `core depends on no other module`() {
+        assertEquals(emptyList<ModuleDependency>(), graph.dependenciesOf("core"))
+        assertEquals(emptyList<SourceImport>(), graph.importsOf("core"))
+    }
+
+    @Test
+    fun `no module depends on itself, directly or not`() {
+        val inCycles = graph.modules.filter { it in graph.reachableFrom(it) }
+        assertTrue(inCycles.isEmpty()) { "modules in a cycle: $inCycles" }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["server", "ctl"])
+    fun `stand-ins are never shipped`(module: String) {
+        val reachable = graph.reachableFrom(module)
+        assertTrue("stand-ins" !in reachable && "bench" !in reachable) { "$module depends on $reachable" }
+    }
+
+    @Test
+    fun `the tool does not depend on the server`() {
+        val reachable = graph.reachableFrom("ctl")
+        assertTrue("server" !in reachable) { "ctl depends on $reachable" }
+    }
+
+    @Test
+    fun `a cycle, a test dependency and a foreign import are recognised`() {
+        val faulty = ModuleGraph(
+            modules = listOf("a", "b"),
+            readPom = { if (it == "a") pom("b", "compile") else pom("a", "runtime") },
+            sourcesOf = { mapOf("A.kt" to "package x\n\nimport dev.bronzeshore.jobs.JobTracker\n") },
+        )
+        assertEquals(setOf("a", "b"), faulty.reachableFrom("a"))
+        assertEquals(listOf(SourceImport("A.kt", "a", "jobs")), faulty.importsOf("a"))
+        val tested = ModuleGraph(listOf("a"), { pom("b", "test") }, { emptyMap() })
+        assertEquals(listOf(ModuleDependency("b", "test")), tested.dependenciesOf("a"))
+        assertEquals(emptySet<String>(), tested.mainDependenciesOf("a"))
+    }
+
+    private fun pom(dependency: String, scope: String) = """
+        <project><dependencies><dependency>
+          <groupId>dev.bronzeshore</groupId><artifactId>bronzeshore-$dependency</artifactId><scope>$scope</scope>
+        </dependency></dependencies></project>
+    """.trimIndent()
+
+    internal companion object {
+        private val FEATURE_MODULES = sortedSetOf(
+            "audit", "jobs", "membership", "ownership", "peering", "placement", "plans", "platform", "requests",
+        )
+        private val OTHER_MODULES = setOf("bench", "core", "ctl", "server", "spec", "stand-ins")
+
+        @JvmStatic
+        fun featureModules(): List<String> = FEATURE_MODULES.toList()
+    }
+}
