Skip queues that are too long for backfill

Cause: backfill looked at up to eight jobs of each waiting queue on each freed worker with a reservation, mostly for jobs that were all too long. Change: each queue knows its shortest declared run, and the room's deadline is computed once.

--- a/placement/src/main/kotlin/dev/bronzeshore/placement/Backfill.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/Backfill.kt
@@ -19,7 +19,7 @@
     fun startAnywhere(waiting: ShapeQueue): Boolean {
         val nowMs = clock()
         for (room in workers.reservedRoomFor(waiting.shape.size)) {
-            val job = jobFor(room, waiting, nowMs) ?: continue
+            val job = jobFor(waiting, nowMs, neededAtMs(room)) ?: continue
             start(job, room, nowMs)
             return true
         }
@@ -30,27 +30,31 @@
     fun fill(room: WorkerRoom, mayStart: (ShapeQueue) -> Boolean) {
         if (room.holds.isEmpty()) return
         val nowMs = clock()
+        val neededAtMs = neededAtMs(room)
         while (!starter.isFull) {
             var first: ShapeQueue? = null
             for (kind in queue.waitingKinds) {
                 val fitting = kind.waiting.firstFitting(room.uncharged, QueueState.WAITS_FOR_ROOM) {
-                    mayStart(it) && jobFor(room, it, nowMs) != null
+                    jobFor(it, nowMs, neededAtMs) != null && mayStart(it)
                 } ?: continue
                 first = KindOrder.first(first, fitting, nowMs)
             }
-            val job = jobFor(room, first ?: return, nowMs) ?: return
+            val job = jobFor(first ?: return, nowMs, neededAtMs) ?: return
             start(job, room, nowMs)
         }
     }
 
     /** Jobs of equal size may differ in their run time, so a few behind the first one are looked at, too. */
-    private fun jobFor(room: WorkerRoom, waiting: ShapeQueue, nowMs: Long): JobEntry? =
-        waiting.jobs.asSequence().take(MAX_JOBS).firstOrNull { mayUse(room, it, nowMs) }
+    private fun jobFor(waiting: ShapeQueue, nowMs: Long, neededAtMs: Long): JobEntry? {
+        val isBackfill = waiting.kindQueue.kind.policy == Policy.BATCH && waiting.shape.gangParts == 0
+        if (!isBackfill || nowMs + waiting.shortestRunMs > neededAtMs) return null
+        return waiting.jobs.asSequence().take(MAX_JOBS).firstOrNull { job ->
+            nowMs + job.item.declaredRunMs <= neededAtMs && job.budget.allows(job.pending.first(), nowMs)
+        }
+    }
 
-    private fun mayUse(room: WorkerRoom, job: JobEntry, nowMs: Long): Boolean = job.item.kind.policy == Policy.BATCH &&
-        !job.isGang &&
-        job.budget.allows(job.pending.first(), nowMs) &&
-        room.holds.all { nowMs + job.item.declaredRunMs <= it.reservation.startAtMs }
+    /** When the first reservation on [room] needs its room. */
+    private fun neededAtMs(room: WorkerRoom): Long = room.holds.minOf { it.reservation.startAtMs }
 
     private fun start(job: JobEntry, room: WorkerRoom, nowMs: Long) {
         val part = job.pending.first()
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ShapeQueue.kt
@@ -18,6 +18,9 @@
     val jobs: TreeSet<JobEntry> = TreeSet()
     var state: QueueState = QueueState.EMPTY
 
+    /** No job in the queue declares a shorter run; lets backfill skip the queue without a look at its jobs. */
+    var shortestRunMs: Long = Long.MAX_VALUE
+
     /** Room that has to be free at once: all parts of a gang, or one part. */
     val wanted: Resources = if (shape.gangParts > 0) shape.size * shape.gangParts else shape.size
 
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/WorkQueue.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/WorkQueue.kt
@@ -23,6 +23,7 @@
         val state = queue.state
         unlink(queue)
         queue.jobs.add(job)
+        queue.shortestRunMs = minOf(queue.shortestRunMs, job.item.declaredRunMs)
         job.shapeQueue = queue
         link(queue, if (state == QueueState.EMPTY) QueueState.READY else state)
     }
