--- a/ownership/src/main/kotlin/dev/bronzeshore/ownership/Timing.kt
+++ b/ownership/src/main/kotlin/dev/bronzeshore/ownership/Timing.kt
@@ -17,8 +17,8 @@
 internal const val PROMISE_TIMEOUT_MS: Long = 400
 
 /**
- * Promise calls per deputy and tick. With one attempt, two lost messages in a row let the lease run out: in 10 simulated
- * outages of 30 minutes with 2% loss per message, the typical run had a gap of 0.5 s.
+ * Promise calls per deputy and tick. With one attempt, two lost messages in a row let the lease run out: in 10
+ * simulated outages of 30 minutes with 2% loss per message, the typical run had a gap of 0.5 s.
  */
 internal const val PROMISE_ATTEMPTS: Int = 2
 
