Make the parts of the router internal

Cause: visibility is internal by default, and only the router, the proxy, the ledger and the flood trial are used by other modules. Change: queue, pool, latency, retry budget and gate are internal. Conclusion: no change of behaviour.

--- a/requests/src/main/kotlin/dev/bronzeshore/requests/AdmissionQueue.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/AdmissionQueue.kt
@@ -19,7 +19,7 @@
  * Requests of a kind are ordered by deadline; slots are shared between the kinds of a plan by [KindPicker], and between
  * plans by the owners' grants. Refusals are decided before a request is queued and cost a few comparisons.
  */
-public class AdmissionQueue internal constructor(
+internal class AdmissionQueue(
     private val clock: ClockMs,
     private val pool: SlotPool,
     private val limits: AdmissionLimits,
@@ -37,11 +37,11 @@
     @Volatile
     private var published: Map<String, Map<String, KindQueue>> = emptyMap()
 
-    public constructor(clock: ClockMs, pool: SlotPool, limits: AdmissionLimits = AdmissionLimits()) :
+    constructor(clock: ClockMs, pool: SlotPool, limits: AdmissionLimits = AdmissionLimits()) :
         this(clock, pool, limits, FairPicker()::pick)
 
     /** Takes over the kinds that are answered by services; requests of a kind that is gone are refused. */
-    public fun configure(list: List<Plan>) {
+    fun configure(list: List<Plan>) {
         val removed = ArrayList<KindQueue>()
         for (plan in list) {
             val queues = plans.getOrPut(plan.name) { PlanQueues() }
@@ -69,10 +69,10 @@
      * The fault with which a kind is refused while its queue is full, or null. Thread-safe, so that a flood does not
      * reach the control thread.
      */
-    public fun standingRefusal(plan: String, kind: String): Fault? = published[plan]?.get(kind)?.standingRefusal
+    fun standingRefusal(plan: String, kind: String): Fault? = published[plan]?.get(kind)?.standingRefusal
 
     /** Says at low cost why a request that arrives now is refused, or null if it is not. */
-    internal fun refusalOf(plan: String, kind: String, service: String): Fault? {
+    fun refusalOf(plan: String, kind: String, service: String): Fault? {
         val queues = plans[plan] ?: return UNKNOWN_PLAN
         val queue = queues.kinds[kind] ?: return UNKNOWN_KIND
         if (queue.service != service) return UNKNOWN_SERVICE
@@ -89,19 +89,19 @@
     }
 
     /** Queues a request, or returns the fault with which it is refused. A free slot is given out at once. */
-    public fun enqueue(request: QueuedRequest): Fault? {
+    fun enqueue(request: QueuedRequest): Fault? {
         val fault = refusalOf(request.plan, request.kind, request.service)
         return fault ?: addInTime(request)
     }
 
     /** Queues a request again that was admitted before and could not be sent; no bound applies. */
-    public fun requeue(request: QueuedRequest): Fault? {
+    fun requeue(request: QueuedRequest): Fault? {
         if (plans[request.plan]?.kinds?.get(request.kind)?.service != request.service) return UNKNOWN_KIND
         return addInTime(request)
     }
 
     /** Removes a waiting request without a decision; returns false if it was decided before. */
-    public fun cancel(request: QueuedRequest): Boolean {
+    fun cancel(request: QueuedRequest): Boolean {
         if (request.state != QueuedState.WAITING) return false
         request.state = QueuedState.ENDED
         request.queue?.cancelled()
@@ -110,7 +110,7 @@
     }
 
     /** Gives back the slot of a started request and hands it on. */
-    public fun release(request: QueuedRequest, lease: SlotLease) {
+    fun release(request: QueuedRequest, lease: SlotLease) {
         if (request.state != QueuedState.STARTED) return
         request.state = QueuedState.ENDED
         pool.release(lease)
@@ -119,10 +119,10 @@
     }
 
     /** To be called after allotments or the set of leaving endpoints changed. */
-    public fun slotsChanged(): Unit = lanes.keys.forEach { dispatch(it) }
+    fun slotsChanged(): Unit = lanes.keys.forEach { dispatch(it) }
 
     /** To be called several times a second: drops requests and slots whose deadline has passed. */
-    public fun tick() {
+    fun tick() {
         val nowMs = clock()
         pool.dropExpired()
         for (queue in lanes.values.flatten()) {
@@ -133,10 +133,10 @@
     }
 
     /** Requests of a plan that wait for a service. */
-    public fun waiting(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.sumOf { it.waiting } ?: 0
+    fun waiting(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.sumOf { it.waiting } ?: 0
 
     /** Service and plan of all configured kinds. */
-    internal fun laneKeys(): Set<LaneKey> = lanes.keys
+    fun laneKeys(): Set<LaneKey> = lanes.keys
 
     private fun addInTime(request: QueuedRequest): Fault? {
         if (clock() > request.startBeforeMs) return DEADLINE_PASSED
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/HeldSlots.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/HeldSlots.kt
@@ -16,11 +16,11 @@
 }
 
 /** A slot in use by one request, until it is given back to the pool. */
-public class SlotLease internal constructor(internal val held: HeldSlots) {
+internal class SlotLease(val held: HeldSlots) {
     /** The request must be sent before; a later renewal of the grant does not move it. */
-    public val sendBeforeMs: Long = held.untilMs
-    internal var released: Boolean = false
+    val sendBeforeMs: Long = held.untilMs
+    var released: Boolean = false
 
-    public val endpointId: String get() = held.key.endpointId
-    public val address: String get() = held.address
+    val endpointId: String get() = held.key.endpointId
+    val address: String get() = held.address
 }
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/InFlightGate.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/InFlightGate.kt
@@ -5,41 +5,41 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Lets requests in until it is closed, and tells when the last one has left. Thread-safe. */
-public class InFlightGate {
+internal class InFlightGate {
     /** Number of requests, plus [CLOSED] once closed. */
     private val state = AtomicInteger()
     private val drained = CompletableDeferred<Unit>()
 
-    public val inFlight: Int get() = state.get() and CLOSED.inv()
+    val inFlight: Int get() = state.get() and CLOSED.inv()
 
     /** Enters unless the gate is closed. */
-    public fun tryEnter(): Boolean {
+    fun tryEnter(): Boolean {
         val before = state.getAndUpdate { if (it and CLOSED != 0) it else it + 1 }
         return before and CLOSED == 0
     }
 
     /** Leaves; each successful [tryEnter] is followed by exactly one call. */
-    public fun leave(): Unit = check(tryLeave()) { "nothing is in flight" }
+    fun leave(): Unit = check(tryLeave()) { "nothing is in flight" }
 
     /** Leaves if anything is in flight. */
-    internal fun tryLeave(): Boolean {
+    fun tryLeave(): Boolean {
         val before = state.getAndUpdate { if (it and CLOSED.inv() == 0) it else it - 1 }
         if (before == CLOSED + 1) drained.complete(Unit)
         return before and CLOSED.inv() > 0
     }
 
-    public fun close() {
+    fun close() {
         if (state.updateAndGet { it or CLOSED } == CLOSED) drained.complete(Unit)
     }
 
     /** Suspends until the gate is closed and nothing is in flight. */
-    public suspend fun awaitDrained(): Unit = drained.await()
+    suspend fun awaitDrained(): Unit = drained.await()
 
     /** True once the gate is closed and nothing is in flight. */
-    internal val isEmptyForGood: Boolean get() = state.get() == CLOSED
+    val isEmptyForGood: Boolean get() = state.get() == CLOSED
 
     /** True if [awaitDrained] returns at once. */
-    internal val isSignalled: Boolean get() = drained.isCompleted
+    val isSignalled: Boolean get() = drained.isCompleted
 
     private companion object {
         const val CLOSED = 1 shl 30
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/LatencyTracker.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/LatencyTracker.kt
@@ -10,14 +10,14 @@
  * An estimate that is not refreshed drifts to the mean of all endpoints, so that an endpoint that was slow once is
  * tried again.
  */
-public class LatencyTracker(private val clock: ClockMs) {
+internal class LatencyTracker(private val clock: ClockMs) {
     private class Estimate(var latencyMs: Double, var observedAtMs: Long, var avoidUntilMs: Long)
 
     private val estimates = HashMap<String, Estimate>()
     private var meanMs = INITIAL_MS
 
     /** Records how long an endpoint took to answer. */
-    public fun answered(endpointId: String, latencyMs: Long) {
+    fun answered(endpointId: String, latencyMs: Long) {
         val observedMs = maxOf(1.0, latencyMs.toDouble())
         val estimate = estimates.getOrPut(endpointId) { Estimate(observedMs, clock(), Long.MIN_VALUE) }
         estimate.latencyMs += WEIGHT * (observedMs - estimate.latencyMs)
@@ -27,13 +27,13 @@
     }
 
     /** Records that an endpoint could not be reached; others are preferred for a while. */
-    public fun failed(endpointId: String) {
+    fun failed(endpointId: String) {
         val estimate = estimates.getOrPut(endpointId) { Estimate(meanMs, clock(), Long.MIN_VALUE) }
         estimate.avoidUntilMs = clock() + AVOID_MS
     }
 
     /** Expected latency in milliseconds. */
-    public fun expectedMs(endpointId: String): Double {
+    fun expectedMs(endpointId: String): Double {
         val estimate = estimates[endpointId] ?: return meanMs
         val nowMs = clock()
         if (nowMs < estimate.avoidUntilMs) return FAILED_MS
@@ -42,7 +42,7 @@
     }
 
     /** Forgets endpoints that are gone. */
-    public fun retain(endpointIds: Set<String>) {
+    fun retain(endpointIds: Set<String>) {
         estimates.keys.retainAll(endpointIds)
     }
 
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/RetryBudget.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RetryBudget.kt
@@ -6,15 +6,15 @@
  *
  * Without a limit, retries would multiply the load on endpoints that are failing because of load.
  */
-public class RetryBudget {
+internal class RetryBudget {
     private var tenths = INITIAL_RETRIES * TENTHS_PER_RETRY
 
-    public fun succeeded() {
+    fun succeeded() {
         tenths = minOf(tenths + 1, MAX_RETRIES * TENTHS_PER_RETRY)
     }
 
     /** Takes a retry from the budget if there is one. */
-    public fun tryRetry(): Boolean {
+    fun tryRetry(): Boolean {
         if (tenths < TENTHS_PER_RETRY) return false
         tenths -= TENTHS_PER_RETRY
         return true
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPool.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/SlotPool.kt
@@ -10,7 +10,7 @@
  * A slot is handed out only before its deadline and while fewer requests are in flight at the endpoint for the plan
  * than slots are granted; requests that started under an earlier grant count.
  */
-public class SlotPool(private val clock: ClockMs, private val latency: LatencyTracker, random: Random) {
+internal class SlotPool(private val clock: ClockMs, private val latency: LatencyTracker, random: Random) {
     private val held = LinkedHashMap<SlotKey, HeldSlots>()
     private val lanes = LinkedHashMap<LaneKey, Lane>()
     private val inUseAt = HashMap<String, Int>()
@@ -25,7 +25,7 @@
      * Returns true if slots were taken away, in which case the next request to the owner should follow at once: its
      * confirmation lets the owner grant them to others.
      */
-    public fun apply(dataCentre: String, allotments: Allotments): Boolean {
+    fun apply(dataCentre: String, allotments: Allotments): Boolean {
         if (allotments.grantId <= (grantIds[dataCentre] ?: 0L)) return false
         grantIds[dataCentre] = allotments.grantId
         val granted = allotments.list.associateBy { SlotKey(it.endpointId, it.plan) }
@@ -47,7 +47,7 @@
     }
 
     /** Takes a slot for a request of [plan] to [service], or returns null if none is free. */
-    public fun take(service: String, plan: String): SlotLease? {
+    fun take(service: String, plan: String): SlotLease? {
         val lane = lanes[LaneKey(service, plan)] ?: return null
         val nowMs = clock()
         while (lane.candidates.isNotEmpty()) {
@@ -61,7 +61,7 @@
     }
 
     /** Gives a slot back once its request has ended; a second call has no effect. */
-    public fun release(lease: SlotLease) {
+    fun release(lease: SlotLease) {
         if (lease.released) return
         lease.released = true
         changeInUse(lease.held, -1)
@@ -69,32 +69,32 @@
     }
 
     /** Slots that are granted for a plan's requests to a service and not in use. */
-    public fun free(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.free ?: 0
+    fun free(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.free ?: 0
 
     /** Requests of a plan in flight at a service's endpoints. */
-    public fun inUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.inUse ?: 0
+    fun inUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.inUse ?: 0
 
     /** Slots granted for a plan's requests to a service, in use or not. */
-    public fun granted(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.granted ?: 0
+    fun granted(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.granted ?: 0
 
     /** Requests of a plan in flight at a service's endpoints in one data centre. */
-    public fun inUse(dataCentre: String, service: String, plan: String): Int {
+    fun inUse(dataCentre: String, service: String, plan: String): Int {
         val lane = lanes[LaneKey(service, plan)] ?: return 0
         return held.values.sumOf { if (it.lane === lane && it.dataCentre == dataCentre) it.inUse else 0 }
     }
 
     /** Most requests in flight at a time within about the last second. */
-    public fun peakInUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.peakInUse(clock()) ?: 0
+    fun peakInUse(service: String, plan: String): Int = lanes[LaneKey(service, plan)]?.peakInUse(clock()) ?: 0
 
     /** Replaces the endpoints that get no new request, whatever was granted. */
-    public fun setLeaving(endpointIds: Set<String>) {
+    fun setLeaving(endpointIds: Set<String>) {
         leaving.clear()
         leaving += endpointIds
         held.values.toList().forEach { updateEntry(it, clock()) }
     }
 
     /** Forgets slots whose deadline has passed, so that they no longer count as granted. */
-    internal fun dropExpired() {
+    fun dropExpired() {
         val nowMs = clock()
         for (entry in held.values.filter { nowMs >= it.untilMs }) {
             entry.lane.setSlots(entry, 0)
@@ -103,7 +103,7 @@
     }
 
     /** The request that asks a data centre's owner for slots. */
-    public fun request(dataCentre: String, processId: String, demand: List<SlotDemand>): AllotmentRequest {
+    fun request(dataCentre: String, processId: String, demand: List<SlotDemand>): AllotmentRequest {
         // Follows the clock so that a restarted process continues above the numbers it used before.
         lastSequence = maxOf(lastSequence + 1, clock())
         val inUse =
