--- a/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
@@ -186,6 +186,20 @@
         }
     }
 
+    @Test
+    fun `guards against an early answer that is lost because the body is still being sent`() =
+        serving({ it.answer("too large", "413 Content Too Large") }) { endpoint ->
+            coroutineScope {
+                val body = ByteChannel()
+                val writer = launch { writePattern(body, 67_108_864, CRC32()) }
+                val answer = Answer()
+                val end = attempt(endpoint.address, request("POST", "/", body, null), answer)
+                assertEquals(413, (end as? AttemptEnd.Answered)?.status)
+                assertEquals("too large", answer.text.toString())
+                writer.cancelAndJoin()
+            }
+        }
+
     @Test
     fun `guards against an answer that is buffered while the caller does not read`() {
         val written = CompletableDeferred<Unit>()
--- a/requests/src/test/kotlin/dev/bronzeshore/requests/RequestRouterTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/RequestRouterTest.kt
@@ -1,10 +1,12 @@
 package dev.bronzeshore.requests
 
 import arrow.core.Either
+import dev.bronzeshore.core.Allowance
 import dev.bronzeshore.core.Fault
 import dev.bronzeshore.core.Outcome
 import dev.bronzeshore.core.Plan
 import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.WorkKind
 import io.ktor.utils.io.ByteChannel
@@ -215,6 +217,24 @@
         }
     }
 
+    @Test
+    fun `guards against a waiting request that the owner does not hear of`() = test {
+        val endpoint = endpoint { it.answer("ok") }
+        val ledger = AllotmentLedger("dc1", { nowMs() }, { Long.MAX_VALUE })
+        ledger.setEndpoints(listOf(EndpointSlots("e1", endpoint.address, "stock", 8)))
+        ledger.setAllowances(listOf(Allowance("solvgaard", "dc1", Resources.NONE, slots = 8)))
+        router.configure(listOf(plan))
+        coroutineScope {
+            val call = async { route(request()) }
+            while (asked.get() == 0) yield()
+            val asking = router.allotmentRequest("dc1", "p1")
+            assertEquals(listOf(SlotDemand("stock", "solvgaard", wanted = 1, inUse = 0)), asking.demand)
+            router.apply("dc1", ledger.answer(asking))
+            assertEquals("e1", call.await().getOrNull()?.endpointId)
+        }
+        assertTrue(router.allotmentRequest("dc1", "p1").appliedGrantId > 0)
+    }
+
     @Test
     fun `guards against refusals in a flood that wait for the control thread`() = test {
         val dispatcher = Executors.newSingleThreadExecutor().asCoroutineDispatcher().also { opened += it }
