Test a store outage and lost answers with real processes

Cause: an owner that depends on the table service, or that takes a lost answer for a failed write, loses or repeats work.

--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/StoreFaultProcessTest.kt
@@ -0,0 +1,111 @@
+/** Outages of the table service and lost answers, with real processes. */
+package dev.bronzeshore.server.processes
+
+import dev.bronzeshore.core.JobSubmission
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.standins.DownMode
+import dev.bronzeshore.standins.Faults
+import dev.bronzeshore.standins.ServerRecords
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.MethodOrderer
+import org.junit.jupiter.api.Order
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestMethodOrder
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+
+/** Four times the ownership lease. */
+private const val OUTAGE_MS = 12_000L
+
+/** Workers tell of ended tasks by heartbeats 2 s apart; a longer gap than two of them is an interruption. */
+private const val LONGEST_START_GAP_MS = 5_000L
+private const val END_TIMEOUT_MS = 90_000L
+private const val DROPPED_SHARE = 0.05
+private const val DROP_SEED = 20_261L
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
+internal class StoreFaultProcessTest {
+    private lateinit var cluster: ProcessCluster
+
+    @BeforeAll
+    fun startCluster(@TempDir folder: Path) {
+        cluster = ProcessCluster(folder, size = 3)
+    }
+
+    @AfterAll
+    fun endCluster() = cluster.close()
+
+    /** Guards against owners that depend on the table service to go on, and against lost or repeated work after it. */
+    @Test
+    @Order(1)
+    fun `requests and placement go on through a store outage and everything ends`() {
+        val jobs = JobBatch("outage") { cluster.entries }
+        RequestLoad("outage") { cluster.entries }.use { load ->
+            jobs.submit(dataCentreNames, count = JOBS_FOR_OUTAGE)
+            cluster.setTableFaults(Faults(down = DownMode.CLOSE_CONNECTION))
+            val downAtMs = System.currentTimeMillis()
+            val refusals = cluster.entries.mapIndexed { index, entry ->
+                entry.submit("refused-$index", JobSubmission("seasonPlan", Resources(1_000, GIB)))
+            }
+            awaitUntil("the outage is over", OUTAGE_MS * 2) { System.currentTimeMillis() - downAtMs >= OUTAGE_MS }
+            cluster.setTableFaults(Faults())
+            val upAtMs = System.currentTimeMillis()
+            val notSucceeded = jobs.awaitEnds(END_TIMEOUT_MS)
+            val ends = load.finish()
+            val records = cluster.records()
+            val gaps = dataCentreNames.associateWith { longestGapMs(startsIn(records, it), downAtMs, upAtMs) }
+            val during = dataCentreNames.associateWith { name ->
+                startsIn(records, name).count { it in downAtMs..upAtMs }
+            }
+            println("outage: ${ends.size} requests, starts $during, longest gaps $gaps ms, refusals $refusals")
+            assertEquals(emptyList<Any>(), violationsOf(records, ends, jobs), cluster::logs)
+            assertEquals(emptyList<Any>(), ends.filterNot { it.isRight }, cluster::logs)
+            assertEquals(emptyList<String>(), notSucceeded)
+            // Without jobs left over, a gap in the starts would say nothing about the outage.
+            dataCentreNames.forEach { name ->
+                assertTrue(startsIn(records, name).last() > upAtMs, "no job left in $name")
+            }
+            refusals.forEach { assertNotNull(it.fault, it.text) }
+            assertTrue(gaps.values.all { it <= LONGEST_START_GAP_MS }) { "$gaps\n${cluster.logs()}" }
+        }
+    }
+
+    /** Guards against a lost answer being taken for a failed write: a job accepted twice, or one never run. */
+    @Test
+    @Order(2)
+    fun `lost answers of the store cause no violation and no second job`() {
+        val jobs = JobBatch("dropped") { cluster.entries }
+        RequestLoad("dropped") { cluster.entries }.use { load ->
+            cluster.setTableFaults(Faults(dropAnswerShare = DROPPED_SHARE, dropSeed = DROP_SEED))
+            jobs.submit(dataCentreNames, JOBS_WITH_DROPS)
+            val differing = jobs.repeatAll()
+            val notSucceeded = jobs.awaitEnds(END_TIMEOUT_MS)
+            val ends = load.finish()
+            cluster.setTableFaults(Faults())
+            val failed = ends.filterNot { it.isRight }
+            println("dropped: ${ends.size} requests, ${failed.size} not answered, ${jobs.size} jobs")
+            assertEquals(emptyList<Any>(), violationsOf(cluster.records(), ends, jobs), cluster::logs)
+            assertEquals(emptyList<String>(), differing)
+            assertEquals(emptyList<String>(), notSucceeded, cluster::logs)
+            assertEquals(emptyList<Any>(), failed, cluster::logs)
+        }
+    }
+
+    private fun startsIn(records: List<ServerRecords>, dataCentre: String): List<Long> =
+        tasksIn(records, dataCentre).map { it.startedAtMs }.sorted()
+
+    private fun longestGapMs(starts: List<Long>, fromMs: Long, untilMs: Long): Long =
+        (listOf(fromMs) + starts.filter { it in fromMs..untilMs } + untilMs).zipWithNext { a, b -> b - a }.max()
+
+    private companion object {
+        /** Four run at a time and each takes a heartbeat of 2 s: enough for the outage after all are accepted. */
+        const val JOBS_FOR_OUTAGE = 44
+        const val JOBS_WITH_DROPS = 10
+    }
+}
