Condition the worker roster on its own version

Cause: a roster write whose answer was lost could land after a newer one and remove a worker that holds tasks; a later owner would then not ask that worker. Found by reading, with the rule that a re-read of an old version settles nothing. Change: the write is conditional on the row's version; WorkerRosterTest reproduces the late write.

--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/WorkerRoster.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/WorkerRoster.kt
@@ -2,7 +2,6 @@
 package dev.bronzeshore.jobs
 
 import arrow.core.Either
-import arrow.core.flatMap
 import arrow.core.right
 import dev.bronzeshore.core.Condition
 import dev.bronzeshore.core.Fault
@@ -22,26 +21,34 @@
  */
 internal class WorkerRoster(private val table: TableApi, private val fence: Condition, dataCentre: String) {
     private val key = "workers/$dataCentre"
+    private var version = 0L
     var saved: List<Vm> = emptyList()
         private set
 
     suspend fun load(): Either<Fault, List<Vm>> = table.read(key).map { row ->
+        version = row?.version ?: 0
         saved = row?.let { WireJson.decodeFromString<List<Vm>>(it.value) }.orEmpty()
         saved
     }
 
-    /** Writes the list if it differs from the saved one; repeating it after a lost answer is harmless. */
+    /**
+     * Writes the list if it differs from the saved one and says whether the row now holds it.
+     *
+     * The condition on the row's version keeps an earlier write whose answer was lost from landing later and removing
+     * workers again. After any other result the row is read again and the caller repeats the call.
+     */
     suspend fun save(workers: List<Vm>): Either<Fault, Boolean> {
         val sorted = workers.sortedBy { it.id }
         if (sorted == saved) return true.right()
         val transaction = Transaction(
             UUID.randomUUID().toString(),
-            listOf(fence),
+            listOf(fence, Condition(key, version)),
             listOf(Put(key, WireJson.encodeToString(sorted))),
         )
-        return table.write(transaction).flatMap { result ->
-            if (result is WriteResult.Applied) saved = sorted
-            (result is WriteResult.Applied).right()
-        }
+        val isApplied = table.write(transaction).getOrNull() is WriteResult.Applied
+        if (!isApplied) return load().map { it == sorted }
+        version++
+        saved = sorted
+        return true.right()
     }
 }
--- /dev/null
+++ b/jobs/src/test/kotlin/dev/bronzeshore/jobs/WorkerRosterTest.kt
@@ -0,0 +1,57 @@
+package dev.bronzeshore.jobs
+
+import dev.bronzeshore.core.Condition
+import dev.bronzeshore.core.ResultCode
+import dev.bronzeshore.core.Row
+import dev.bronzeshore.core.TableApi
+import dev.bronzeshore.core.Transaction
+import dev.bronzeshore.core.Vm
+import dev.bronzeshore.core.VmRole
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class WorkerRosterTest {
+    private val fence = Condition("journal/ridge", 1)
+    private val table = FakeTable().apply { rows[fence.key] = Row(fence.key, 1, "1", "takeover") }
+
+    private fun workers(vararg ids: String) = ids.map { Vm(it, VmRole.WORKER, "ridge", "rack", it) }
+
+    private suspend fun stored() = WorkerRoster(table.api, fence, "ridge").load().getOrNull().orEmpty().map { it.id }
+
+    /** Guards against a roster that loses a worker which has been given work. */
+    @Test
+    fun `a write that arrives late does not replace a newer list`() = runTest {
+        var late: Transaction? = null
+        val delaying = TableApi(table.api.read, table.api.readRange) { transaction ->
+            if (late == null) {
+                late = transaction
+                table.writeFaults.addFirst(ResultCode.STORE_UNAVAILABLE)
+            }
+            table.api.write(transaction)
+        }
+        val roster = WorkerRoster(delaying, fence, "ridge")
+        assertFalse(roster.save(workers("a")).getOrNull() == true)
+        assertTrue(roster.save(workers("a", "b")).getOrNull() == true)
+        table.api.write(checkNotNull(late))
+        assertEquals(listOf("a", "b"), stored())
+    }
+
+    @Test
+    fun `a write whose answer was lost counts once the row is read again`() = runTest {
+        val roster = WorkerRoster(table.api, fence, "ridge")
+        table.writeFaults.add(ResultCode.WRITE_UNKNOWN)
+        assertTrue(roster.save(workers("a")).getOrNull() == true)
+        assertEquals(listOf("a"), stored())
+    }
+
+    @Test
+    fun `a former owner does not write the list`() = runTest {
+        table.rows[fence.key] = Row(fence.key, 2, "2", "next owner")
+        val roster = WorkerRoster(table.api, fence, "ridge")
+        assertFalse(roster.save(workers("a")).getOrNull() == true)
+        assertEquals(emptyList<String>(), stored())
+    }
+}
