Hold the flood test of the most urgent kind to its target and list it as known red

Cause: the test allowed 10 ms of waiting in a flood of the most urgent kind, a bound taken from the measured figure; the stated target is 1.2 times the waiting time without a flood. The proxy runs on the default dispatcher.

--- a/requests/src/test/kotlin/dev/bronzeshore/requests/FloodTrialTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/FloodTrialTest.kt
@@ -2,9 +2,11 @@
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 
 /** Prints the figures of docs/decisions/0003-admission.md and checks those that must hold. */
 class FloodTrialTest {
@@ -22,20 +24,32 @@
 
     @ParameterizedTest
     @CsvSource("background,false", "urgent,false", "background,true", "urgent,true")
-    fun `guards against a flood of one kind that takes the others' share or makes them wait`(
-        flooded: String,
-        isBusy: Boolean,
-    ) {
+    fun `guards against a flood of one kind that takes the others' share`(flooded: String, isBusy: Boolean) {
         val kinds = if (isBusy) busy else FloodSetup.KINDS
-        val calm = run(FloodPolicy.FAIR, null, kinds)
         val flood = run(FloodPolicy.FAIR, flooded, kinds)
         for (kind in kinds.filter { it.name != flooded }) {
             val share = kind.weight.toDouble() / kinds.sumOf { it.weight }
             val entitled = minOf(1.0, share / kind.load)
             assertTrue(flood.of(kind.name).kept >= 0.97 * entitled, "kept by ${kind.name}")
         }
-        val most = if (flooded == "background") 1.2 * calm.of("interactive").waitP99Micros else 10_000.0
-        val waited = flood.of("interactive").waitP99Micros
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `guards against a flood of the least urgent kind that makes interactive requests wait`(isBusy: Boolean) =
+        assertWaitInFlood("background", isBusy)
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `guards against a flood of the most urgent kind that makes interactive requests wait`(isBusy: Boolean) =
+        assertWaitInFlood("urgent", isBusy)
+
+    /** The stated target: the p99 of the waiting time is at most 1.2 times that without a flood. */
+    private fun assertWaitInFlood(flooded: String, isBusy: Boolean) {
+        val kinds = if (isBusy) busy else FloodSetup.KINDS
+        val most = 1.2 * run(FloodPolicy.FAIR, null, kinds).of("interactive").waitP99Micros
+        val waited = run(FloodPolicy.FAIR, flooded, kinds).of("interactive").waitP99Micros
         assertTrue(waited <= most, "interactive requests waited $waited us, at most $most us are expected")
     }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
@@ -88,7 +88,7 @@
     private val dataCentres: DataCentres = DataCentres(supervisorContext())
     private val ownerService: OwnerService = OwnerService(dataCentres)
     private val jobRouter: JobRouter = JobRouter(gateway, ownerService, table) { configuration.current }
-    private val proxy = RequestProxy(Dispatchers.IO, clock)
+    private val proxy = RequestProxy(Dispatchers.Default, clock)
     private val requestRouter: RequestRouter =
         RequestRouter(control, clock, proxy, Random.Default, askForSlots = { askForSlots() })
     private val allotmentLoop: AllotmentLoop =
