--- a/bench/src/main/kotlin/dev/bronzeshore/bench/DecisionLatency.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/DecisionLatency.kt
@@ -9,6 +9,10 @@
 
 internal class DecisionLatency(private val seed: Long, private val sink: FigureSink) {
     fun run() {
+        // Without this the first fleet is measured partly in interpreted code, which makes the growth look smaller.
+        isWarmingUp = true
+        measure(FLEETS.last(), EVENTS, "engine") { PlacementEngine(it) }
+        isWarmingUp = false
         val medians = FLEETS.associateWith { workers -> measure(workers, EVENTS, "engine") { PlacementEngine(it) } }
         val first = medians.getValue(FLEETS.first())
         val last = medians.getValue(FLEETS.last())
@@ -26,6 +30,8 @@
         measureBlocked()
     }
 
+    private var isWarmingUp = false
+
     /** Steady state: each event ends one part and submits one job; both are timed with their round. */
     private fun measure(workers: Int, events: Int, name: String, makePlacer: (ClockMs) -> WorkPlacer): Double {
         val histogram = Histogram(3)
@@ -84,6 +90,7 @@
     }
 
     private fun report(name: String, histogram: Histogram, size: String) {
+        if (isWarmingUp) return
         val percentiles = listOf("p50" to 50.0, "p99" to 99.0, "p999" to 99.9)
         for ((label, percentile) in percentiles) {
             val micros = histogram.getValueAtPercentile(percentile) / NANOS_PER_MICRO
