Test streamed bodies of all sizes and pipelining with real processes

Cause: answers cut off, given to another caller, or kept in memory. Change: StreamingProcessTest sends 0 B, 1 B and 1 MiB with length and chunked from 50 callers on keep-alive connections, 64 MiB from 8 of them, and pipelines 24 requests on each of 8 connections, all through one process of 128 MB heap. An earlier run failed on a mistake of the test: its warm-up used one id for several requests.

--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/BodyPattern.kt
@@ -0,0 +1,49 @@
+/** Bodies of any length that differ between callers and need no memory for the whole. */
+package dev.bronzeshore.server.processes
+
+import java.io.OutputStream
+import java.nio.ByteBuffer
+import kotlin.random.Random
+
+/** Random blocks from [seed]; each begins with its index, so that a lost or repeated block is noticed. */
+internal class BodyPattern(seed: Long) {
+    private val block = Random(seed).nextBytes(BLOCK_BYTES)
+
+    fun write(output: OutputStream, lengthBytes: Long, isChunked: Boolean) {
+        var writtenBytes = 0L
+        while (writtenBytes < lengthBytes) {
+            val size = minOf(BLOCK_BYTES.toLong(), lengthBytes - writtenBytes).toInt()
+            if (isChunked) output.write("${size.toString(HEX)}\r\n".toByteArray())
+            output.write(blockAt(writtenBytes), 0, size)
+            if (isChunked) output.write("\r\n".toByteArray())
+            writtenBytes += size
+        }
+        if (isChunked) output.write("0\r\n\r\n".toByteArray())
+        output.flush()
+    }
+
+    fun expected(): Expected = Expected()
+
+    /** Compares bytes as they arrive. */
+    inner class Expected {
+        private var offset = 0L
+        private var current = ByteArray(0)
+
+        fun accepts(bytes: ByteArray, count: Int): Boolean {
+            for (index in 0 until count) {
+                val place = (offset % BLOCK_BYTES).toInt()
+                if (place == 0) current = blockAt(offset)
+                if (bytes[index] != current[place]) return false
+                offset++
+            }
+            return true
+        }
+    }
+
+    private fun blockAt(offset: Long): ByteArray = block.copyOf().also { ByteBuffer.wrap(it).putLong(offset) }
+
+    private companion object {
+        const val BLOCK_BYTES = 65_536
+        const val HEX = 16
+    }
+}
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/ProcessCluster.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/ProcessCluster.kt
@@ -24,6 +24,7 @@
     private val children = mutableListOf<ChildProcess>()
     private val addresses: StandInAddresses
     private var starts = 0
+    private var warmUps = 0
 
     /** In the order of their data centres; a restarted process takes the place of the former one. */
     val entries: MutableList<EntryProcess>
@@ -90,7 +91,7 @@
         awaitUntil("each data centre has an owner", START_TIMEOUT_MS) { dataCentreNames.all { ownerOf(it) != null } }
         entries.forEach { entry ->
             awaitUntil("${entry.id} serves requests", START_TIMEOUT_MS) {
-                entry.request("warm-up").status == HTTP_OK
+                entry.request("warm-up-${warmUps++}").status == HTTP_OK
             }
         }
     }
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/StreamingProcessTest.kt
@@ -0,0 +1,101 @@
+/** Whole answers for bodies of all sizes, with real processes of small heaps. */
+package dev.bronzeshore.server.processes
+
+import dev.bronzeshore.standins.RecordJudge
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+
+private const val CALLERS = 50
+private const val MIB = 1_048_576L
+
+/** Together four times the heap of the process. */
+private const val LARGE_CALLERS = 8
+private const val LARGE_BYTES = 64 * MIB
+private const val PIPELINES = 8
+private const val PIPELINED_REQUESTS = 24
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+internal class StreamingProcessTest {
+    private lateinit var cluster: ProcessCluster
+
+    @BeforeAll
+    fun startCluster(@TempDir folder: Path) {
+        cluster = ProcessCluster(folder, size = 3)
+    }
+
+    @AfterAll
+    fun endCluster() = cluster.close()
+
+    /** Guards against answers that are cut off or given to another caller, and against bodies kept in memory. */
+    @Test
+    fun `each of 50 callers gets its own whole answers for bodies of all sizes`() {
+        val startedAtMs = System.currentTimeMillis()
+        val wrong = inParallel(CALLERS) { caller ->
+            val sizes = listOf(0L, 1L, MIB) + if (caller < LARGE_CALLERS) listOf(LARGE_BYTES) else emptyList()
+            RawCaller(port()).use { connection ->
+                sizes.flatMapIndexed { index, size -> bothFramings(caller, index, size) }
+                    .flatMap { connection.pipeline(listOf(it)) }
+            }
+        }
+        println("streaming: $CALLERS callers in ${System.currentTimeMillis() - startedAtMs} ms, wrong $wrong")
+        assertEquals(emptyList<String>(), wrong, cluster::logs)
+        assertSurvived()
+    }
+
+    /** Large bodies alternate their framing between callers, which halves the bytes that the test moves. */
+    private fun bothFramings(caller: Int, index: Int, sizeBytes: Long): List<RawRequest> = listOf(false, true)
+        .filter { isChunked -> sizeBytes < LARGE_BYTES || isChunked == (caller % 2 == 0) }
+        .map {
+            RawRequest(
+                "stream-$caller-$index-$it",
+                seed = caller * 100L + index * 2 + (if (it) 1 else 0),
+                sizeBytes,
+                it,
+            )
+        }
+
+    /** Guards against answers in another order than the requests of one connection. */
+    @Test
+    fun `pipelined requests on one connection are answered whole and in order`() {
+        val sizes = listOf(0L, 1L, 1_000L, 70_000L, MIB)
+        val wrong = inParallel(PIPELINES) { caller ->
+            val requests = List(PIPELINED_REQUESTS) {
+                RawRequest("pipeline-$caller-$it", 1_000_000L + caller * 100L + it, sizes[it % sizes.size], it % 2 == 0)
+            }
+            RawCaller(port()).use { it.pipeline(requests) }
+        }
+        println("pipelining: $PIPELINES connections of $PIPELINED_REQUESTS requests, wrong $wrong")
+        assertEquals(emptyList<String>(), wrong, cluster::logs)
+        assertSurvived()
+    }
+
+    /** All callers use one process, so that its heap has to bear them all. */
+    private fun port(): Int = cluster.entries.first().settings.callers.port
+
+    private fun assertSurvived() {
+        val entry = cluster.entries.first()
+        assertTrue(entry.child.isAlive, cluster::logs)
+        assertTrue(entry.isReady(), cluster::logs)
+        assertFalse(entry.child.printed().contains("OutOfMemoryError"), cluster::logs)
+        val judge = RecordJudge(isIdempotentRequest = { false })
+        assertEquals(emptyList<Any>(), judge.judge(cluster.records()), cluster::logs)
+    }
+
+    private fun inParallel(count: Int, block: (Int) -> List<String>): List<String> {
+        val threads = Executors.newFixedThreadPool(count)
+        return try {
+            threads.invokeAll(List(count) { index -> Callable { block(index) } }).flatMap { it.get() }
+        } finally {
+            threads.shutdownNow()
+        }
+    }
+}
