Tell callers of requests where they ran and how long they waited

Cause: the quickstart could not show the waiting time of requests, because the answer did not carry it. Change: headers Bronzeshore-Endpoint and Bronzeshore-Wait-Ms on streamed answers.

--- a/bench/src/main/kotlin/dev/bronzeshore/bench/capacity/CapacityMain.kt
+++ b/bench/src/main/kotlin/dev/bronzeshore/bench/capacity/CapacityMain.kt
@@ -3,7 +3,8 @@
 
 import dev.bronzeshore.bench.Figure
 
-private val sizes = listOf(90, 210, 390, 801)
+/** Size 0 is the baseline; the others divide by the three data centres. */
+private val sizes = listOf(0, 90, 210, 390, 801)
 private const val PARTS_PER_WORKER = 5.75
 private const val PARTS_PER_JOB = 23
 private const val WINDOW_MS = 15_000L
@@ -14,13 +15,12 @@
 private const val PERCENT = 100.0
 private const val MIB = 1_048_576.0
 
-/** Prints one line of JSON for each figure. */
-public fun main() {
-    measure(0).forEach { println(it.toLine()) }
-    sizes.forEach { size -> measure(size).forEach { println(it.toLine()) } }
+/** Prints one line of JSON for each figure; [args] are numbers of workers, by default the baseline and four sizes. */
+public fun main(args: Array<String>) {
+    val chosen = if (args.isEmpty()) sizes else args.map { it.toInt() }
+    chosen.forEach { size -> measure(size).forEach { println(it.toLine()) } }
 }
 
-/** Size 0 is the baseline: processes that own data centres without workers. */
 private fun measure(workers: Int): List<Figure> = TrialCell(workers).use { cell ->
     cell.start()
     val parts = (workers * PARTS_PER_WORKER).toInt()
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/IncomingRequest.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/IncomingRequest.kt
@@ -26,8 +26,21 @@
     public val startBeforeMs: Long? = null,
 )
 
-/** Status and headers of an endpoint's answer; [contentLength] is null if the length is not known beforehand. */
-public class AnswerHead(public val status: Int, public val headers: List<HeaderLine>, public val contentLength: Long?)
+/**
+ * Status and headers of an endpoint's answer; [contentLength] is null if the length is not known beforehand.
+ *
+ * The router fills in [endpointId] and [waitedMs], the time from arrival to start.
+ */
+public class AnswerHead(
+    public val status: Int,
+    public val headers: List<HeaderLine>,
+    public val contentLength: Long?,
+    public val endpointId: String? = null,
+    public val waitedMs: Long = 0,
+) {
+    internal fun routed(endpointId: String, waitedMs: Long) =
+        AnswerHead(status, headers, contentLength, endpointId, waitedMs)
+}
 
 /**
  * Sends an answer to the caller.
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/RoutedRequest.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/RoutedRequest.kt
@@ -54,7 +54,9 @@
             waitedMs += sentAtMs - queuedAtMs
             if (sentAtMs > startBeforeMs) return ResultCode.DEADLINE_PASSED.toFault().left()
             val sendByMs = minOf(startBeforeMs, lease.sendBeforeMs - 1)
-            val end = proxy.attempt(lease.address, request, body, sendByMs, responder)
+            val end = proxy.attempt(lease.address, request, body, sendByMs) { head, writeBody ->
+                responder(head.routed(lease.endpointId, waitedMs), writeBody)
+            }
             if (end !is AttemptEnd.NotSent) mayHaveRun = true
             return withContext(NonCancellable + control) {
                 held = null
--- a/server/src/main/kotlin/dev/bronzeshore/server/RequestRoutes.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/RequestRoutes.kt
@@ -30,6 +30,8 @@
 internal const val KIND_HEADER = "Bronzeshore-Kind"
 internal const val START_BEFORE_HEADER = "Bronzeshore-Start-Before-Ms"
 internal const val IDEMPOTENT_HEADER = "Bronzeshore-Idempotent"
+internal const val ENDPOINT_HEADER = "Bronzeshore-Endpoint"
+internal const val WAIT_HEADER = "Bronzeshore-Wait-Ms"
 private const val SERVICES_PREFIX = "/v1/services/"
 
 /** Headers between the caller and bronzeshore; the token must not reach an endpoint. */
@@ -136,7 +138,11 @@
     override val status: HttpStatusCode = HttpStatusCode.fromValue(head.status)
     override val contentLength: Long? = head.contentLength
     override val contentType: ContentType? = null
-    override val headers: Headers = headers { head.headers.forEach { append(it.name, it.value) } }
+    override val headers: Headers = headers {
+        head.headers.forEach { append(it.name, it.value) }
+        head.endpointId?.let { append(ENDPOINT_HEADER, it) }
+        append(WAIT_HEADER, head.waitedMs.toString())
+    }
 
     override suspend fun writeTo(channel: ByteWriteChannel) = writeBody(channel)
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/sample/SampleWork.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/sample/SampleWork.kt
@@ -96,7 +96,7 @@
             // The fleet may not be known yet right after the start; "not run" may be repeated.
             if (response.status.isSuccess() || System.currentTimeMillis() > giveUpAtMs) {
                 val isWhole = response.status.isSuccess() && text == body
-                val place = response.headers["Stand-In-Endpoint"] ?: "-"
+                val place = response.headers["Bronzeshore-Endpoint"] ?: "-"
                 val result = if (isWhole) "answered" else "${response.status.value} $text"
                 return SampleResult(
                     request.kind,
