Test killed and paused owners with real processes

Cause: a takeover may lose or repeat work, and a paused owner may go on with old state. Change: OwnerLossProcessTest kills an owner with SIGKILL and pauses another with SIGSTOP for 8 s, under requests and jobs.

--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/OwnerLossProcessTest.kt
@@ -0,0 +1,109 @@
+/** Owners that die or pause, as real processes. */
+package dev.bronzeshore.server.processes
+
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.MethodOrderer
+import org.junit.jupiter.api.Order
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestMethodOrder
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+
+private const val TAKEOVER_BOUND_MS = 5_000L
+private const val PAUSE_MS = 8_000L
+private const val END_TIMEOUT_MS = 60_000L
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
+internal class OwnerLossProcessTest {
+    private lateinit var cluster: ProcessCluster
+
+    @BeforeAll
+    fun startCluster(@TempDir folder: Path) {
+        cluster = ProcessCluster(folder, size = 4)
+    }
+
+    @AfterAll
+    fun endCluster() = cluster.close()
+
+    /** Guards against a data centre that stays without an owner, and against work lost or repeated by the takeover. */
+    @Test
+    @Order(1)
+    fun `a killed owner is replaced within 5 s and nothing is lost or repeated`() {
+        val victim = checkNotNull(cluster.ownerOf("ridge"))
+        val lost = checkNotNull(victim.status()).owned
+        val others = cluster.entries - victim
+        val jobs = JobBatch("kill") { others }
+        RequestLoad("kill") { others }.use { load ->
+            submitWithLastIn(lost.map { it.dataCentre }, jobs)
+            val killedAtMs = System.currentTimeMillis()
+            victim.child.kill()
+            lost.forEach { owned ->
+                awaitUntil("tasks start again in ${owned.dataCentre}", END_TIMEOUT_MS) {
+                    tasksIn(cluster.records(), owned.dataCentre).any { it.term > owned.term }
+                }
+            }
+            val notSucceeded = jobs.awaitEnds(END_TIMEOUT_MS)
+            val ends = load.finish()
+            val records = cluster.records()
+            val restartsMs = lost.associate { owned ->
+                val again = tasksIn(records, owned.dataCentre).filter { it.term > owned.term }
+                owned.dataCentre to again.minOf { it.startedAtMs } - killedAtMs
+            }
+            println("kill: ${ends.size} requests, ${jobs.size} jobs, task starts after the kill $restartsMs ms")
+            assertEquals(emptyList<Any>(), violationsOf(records, ends, jobs))
+            assertEquals(emptyList<Any>(), ends.filterNot { it.isRight }, cluster::logs)
+            assertEquals(emptyList<String>(), notSucceeded)
+            assertTrue(restartsMs.values.all { it <= TAKEOVER_BOUND_MS }) { "$restartsMs\n${cluster.logs()}" }
+        }
+        cluster.replace(victim)
+        cluster.awaitServing()
+    }
+
+    /** Guards against a former owner that goes on handing out work with the state it had before the pause. */
+    @Test
+    @Order(2)
+    fun `a paused owner hands out nothing as a former owner after it resumes`() {
+        val victim = checkNotNull(cluster.ownerOf("valley"))
+        val lost = checkNotNull(victim.status()).owned
+        val others = cluster.entries - victim
+        val jobs = JobBatch("pause") { others }
+        RequestLoad("pause") { others }.use { load ->
+            submitWithLastIn(lost.map { it.dataCentre }, jobs)
+            val pausedAtMs = System.currentTimeMillis()
+            victim.child.signal("STOP")
+            val resumeAtMs = pausedAtMs + PAUSE_MS
+            awaitUntil("the pause is over", PAUSE_MS * 2) { System.currentTimeMillis() >= resumeAtMs }
+            victim.child.signal("CONT")
+            val resumedAtMs = System.currentTimeMillis()
+            RequestLoad("resumed") { listOf(victim) }.use { resumedLoad ->
+                val notSucceeded = jobs.awaitEnds(END_TIMEOUT_MS)
+                val ends = load.finish() + resumedLoad.finish()
+                val records = cluster.records()
+                lost.forEach { owned ->
+                    assertTrue(tasksIn(records, owned.dataCentre).any { it.term > owned.term }, owned.dataCentre)
+                }
+                val stale = lost.flatMap { owned ->
+                    tasksIn(records, owned.dataCentre)
+                        .filter { it.term <= owned.term && it.startedAtMs > resumedAtMs }
+                }
+                val failed = ends.filterNot { it.isRight }
+                println("pause: ${ends.size} requests, ${failed.size} not answered, ${jobs.size} jobs")
+                assertEquals(emptyList<Any>(), violationsOf(records, ends, jobs), cluster::logs)
+                assertEquals(emptyList<Any>(), stale)
+                assertEquals(emptyList<String>(), notSucceeded)
+                assertEquals(emptyList<Any>(), failed.filter { it.entryId != victim.id }, cluster::logs)
+            }
+        }
+    }
+
+    /** The data centres that lose their owner get their jobs last, so that some still wait when that happens. */
+    private fun submitWithLastIn(lost: List<String>, jobs: JobBatch) {
+        jobs.submit(dataCentreNames - lost.toSet(), count = 4)
+        jobs.submit(lost, count = 24)
+    }
+}
