--- a/core/src/main/kotlin/dev/bronzeshore/core/ResultCode.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/ResultCode.kt
@@ -54,7 +54,7 @@
     LEASE_LOST(3003, 502, Outcome.UNKNOWN, "The worker was lost while a part that may not be repeated was running."),
     CANCELLED_LATE(
         3004,
-        200,
+        409,
         Outcome.UNKNOWN,
         "The work was cancelled after it may have started; no part runs any more.",
     ),
@@ -63,7 +63,8 @@
     KEY_REUSED(4002, 409, Outcome.NOT_RUN, "The idempotency key was used for different content."),
     UNAUTHORIZED(4003, 401, Outcome.NOT_RUN, "The token is missing or unknown."),
     FORBIDDEN(4004, 403, Outcome.NOT_RUN, "The token does not permit this."),
-    TASK_FAILED(4005, 200, Outcome.DONE, "The work ran and reported a failure."),
+    TASK_FAILED(4005, 422, Outcome.DONE, "The work ran and reported a failure."),
+    JOB_NOT_ENDED(4006, 409, Outcome.UNKNOWN, "The job has not ended yet, so it has no result."),
 
     INTERNAL(5001, 500, Outcome.UNKNOWN, "An internal fault; the log has the details."),
     PEER_UNAVAILABLE(5002, 503, Outcome.UNKNOWN, "Another process did not answer in time."),
--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/DataCentreJobs.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/DataCentreJobs.kt
@@ -129,6 +129,13 @@
     ): Either<Fault, JobRecord> {
         val kind = context.kindOf(plan, submission.kind)
             ?: return Fault(ResultCode.UNKNOWN_KIND, "Plan $plan has no kind ${submission.kind}.", "kind").left()
+        if (kind.service != null) {
+            return Fault(
+                ResultCode.UNKNOWN_KIND,
+                "Kind ${kind.name} is sent to service ${kind.service}.",
+                "kind",
+            ).left()
+        }
         val journal = journal?.takeIf { workersKnown && context.mayAct() } ?: return notOwner().left()
         val jobId = JobRows.jobId(plan, idempotencyKey)
         tracker.find(jobId)?.let { return sameOrReused(it.record, submission) }
--- a/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
@@ -180,6 +180,7 @@
     private suspend fun refreshFleet() {
         fleet.refresh()
         requestRouter.retainEndpoints(fleet.endpointIds())
+        metrics.snapshot = snapshot()
         applyFleet()
     }
 
@@ -222,6 +223,14 @@
         },
     )
 
+    private fun snapshot() = ProcessSnapshot(
+        ownedDataCentres = dataCentres.all.count { it.ownership.mayAct() },
+        openJobs = dataCentres.all.sumOf { supervisor -> supervisor.jobs.fold({ 0 }, { it.openCount }) },
+        quarantinedWorkers = fleet.quarantinedCount(),
+        configurationVersion = configuration.current.version,
+        requestsInFlight = requestRouter.inFlight,
+    )
+
     private fun status(): ProcessStatus = ProcessStatus(
         processId = self.processId,
         dataCentre = self.dataCentre,
--- a/server/src/main/kotlin/dev/bronzeshore/server/HttpPorts.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/HttpPorts.kt
@@ -18,6 +18,7 @@
 
 /** Time in which the balancer sees that a process is not ready any more. */
 private const val BALANCER_NOTICE_MS = 2_000L
+private const val GRACE_MS = 500L
 private const val IDLE_TIMEOUT_SECONDS = 60
 
 internal class HttpPorts(
@@ -37,8 +38,8 @@
     suspend fun awaitBalancer() = delay(BALANCER_NOTICE_MS)
 
     suspend fun stop() {
-        callerServer.stopSuspend(gracePeriodMillis = 0, timeoutMillis = BALANCER_NOTICE_MS)
-        operatorServer.stopSuspend(gracePeriodMillis = 0, timeoutMillis = BALANCER_NOTICE_MS)
+        callerServer.stopSuspend(gracePeriodMillis = GRACE_MS, timeoutMillis = BALANCER_NOTICE_MS)
+        operatorServer.stopSuspend(gracePeriodMillis = GRACE_MS, timeoutMillis = BALANCER_NOTICE_MS)
     }
 
     private fun server(
--- a/server/src/main/kotlin/dev/bronzeshore/server/JobRoutes.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/JobRoutes.kt
@@ -75,7 +75,7 @@
 
 private fun resultOf(record: JobRecord): Either<Fault, List<PartResult>> = when {
     !record.state.isFinal ->
-        Fault(ResultCode.INVALID_VALUE, "Job ${record.jobId} is ${record.state}.", "id", "a job that has ended").left()
+        Fault(ResultCode.JOB_NOT_ENDED, "Job ${record.jobId} is ${record.state}.", "id", "a job that has ended").left()
 
     record.code != ResultCode.OK -> Fault(record.code, "Job ${record.jobId} ended as ${record.state}.").left()
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/ProcessMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/ProcessMetrics.kt
@@ -14,6 +14,15 @@
 private val WAIT_BUCKETS_SECONDS =
     doubleArrayOf(0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 7.7, 30.0, 300.0, 3_600.0)
 
+/** State of a process as its gauges show it. */
+internal data class ProcessSnapshot(
+    val ownedDataCentres: Int = 0,
+    val openJobs: Int = 0,
+    val quarantinedWorkers: Int = 0,
+    val configurationVersion: Long = 0,
+    val requestsInFlight: Int = 0,
+)
+
 /** Thread-safe. */
 internal class ProcessMetrics {
     private val registry = PrometheusRegistry()
@@ -29,6 +38,7 @@
 
     init {
         JvmMetrics.builder().register(registry)
+        addSnapshotGauges()
     }
 
     fun countAnswer(code: ResultCode) = answers.labelValues(code.name).inc()
@@ -39,9 +49,21 @@
 
     fun countPartFailure(workerId: String) = partFailures.labelValues(workerId).inc()
 
+    /** Numbers of one process, replaced as a whole by the control thread. */
+    @Volatile
+    var snapshot: ProcessSnapshot = ProcessSnapshot()
+
+    private fun addSnapshotGauges() {
+        gauge("bronzeshore_owned_data_centres", "Data centres that this process owns.") { snapshot.ownedDataCentres }
+        gauge("bronzeshore_open_jobs", "Jobs of owned data centres that have not ended.") { snapshot.openJobs }
+        gauge("bronzeshore_quarantined_workers", "Workers in quarantine.") { snapshot.quarantinedWorkers }
+        gauge("bronzeshore_configuration_version", "Configuration in force.") { snapshot.configurationVersion }
+        gauge("bronzeshore_requests_in_flight", "Requests accepted and not ended.") { snapshot.requestsInFlight }
+    }
+
     /** Adds a gauge whose value is read when the metrics are scraped; [value] must be safe to call on any thread. */
-    fun gauge(name: String, help: String, value: () -> Double) {
-        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+    private fun gauge(name: String, help: String, value: () -> Number) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
     }
 
     /** All metrics in Prometheus' text format. */
--- a/server/src/main/kotlin/dev/bronzeshore/server/ProcessRunner.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/ProcessRunner.kt
@@ -13,6 +13,8 @@
 private const val EXIT_INVARIANT_FAILED = 70
 
 internal fun runProcess(settings: Settings) {
+    // Ktor's own shutdown hook would close the ports at once, while requests are still in flight.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val log = PartLog("server")
     val control = Executors.newSingleThreadExecutor { Thread(it, "control") }.asCoroutineDispatcher()
     val process = BronzeshoreProcess(settings, System::currentTimeMillis, control) { failure ->
--- a/server/src/main/kotlin/dev/bronzeshore/server/RequestRoutes.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/RequestRoutes.kt
@@ -91,6 +91,12 @@
     val offered = plan.kinds.filter { it.service == service }.map { it.name }
     val name = call.request.headers[KIND_HEADER] ?: offered.singleOrNull()
     return when {
+        offered.isEmpty() -> Fault(
+            ResultCode.UNKNOWN_SERVICE,
+            "Plan ${plan.name} has no kind for $service.",
+            "path",
+        ).left()
+
         name == null -> Fault(
             ResultCode.MISSING_FIELD,
             "The kind is missing.",
--- a/server/src/main/kotlin/dev/bronzeshore/server/Settings.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/Settings.kt
@@ -24,5 +24,5 @@
     /** Hex SHA-256 of the operators' bearer token. */
     public val operatorTokenSha256: String,
     /** Audit rows older than this are deleted. */
-    public val auditRetentionDays: Int = 90,
+    public val auditRetentionDays: Int = 400,
 )
--- a/server/src/test/kotlin/dev/bronzeshore/server/SettingsReaderTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/SettingsReaderTest.kt
@@ -23,7 +23,7 @@
     @Test
     fun `valid settings have no faults and the documented default`() {
         val settings = SettingsReader().read("s.json", VALID).getOrNull()
-        assertEquals(90, settings?.auditRetentionDays)
+        assertEquals(400, settings?.auditRetentionDays)
         assertEquals(ListenAddress("10.0.0.1", 7000), settings?.callers)
     }
 
