Move queues at their plan's limit to those that wait for it

Cause: a queue that was passed over for its plan's limit when room was freed kept waiting for room, so nothing tried it when the limit allowed it. Change: such queues wait for the limit from then on; reservations that may start are tried after each end of a part of their plan.

--- a/placement/src/main/kotlin/dev/bronzeshore/placement/Backfill.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/Backfill.kt
@@ -3,6 +3,7 @@
 
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.Policy
+import dev.bronzeshore.core.Resources
 
 /**
  * A part may start in kept room if its stored deadline, now plus its declared run time, comes before the deadline of
@@ -27,7 +28,7 @@
     }
 
     /** Starts waiting work on [room] as far as running parts leave room there. */
-    fun fill(room: WorkerRoom, mayStart: (ShapeQueue) -> Boolean) {
+    fun fill(room: WorkerRoom) {
         if (room.holds.isEmpty()) return
         val nowMs = clock()
         val neededAtMs = neededAtMs(room)
@@ -35,7 +36,7 @@
             var first: ShapeQueue? = null
             for (kind in queue.waitingKinds) {
                 val fitting = kind.waiting.firstFitting(room.uncharged, QueueState.WAITS_FOR_ROOM) {
-                    jobFor(it, nowMs, neededAtMs) != null && mayStart(it)
+                    jobFor(it, nowMs, neededAtMs) != null && it.kindQueue.plan.mayAddBeside(it.wanted, Resources.NONE)
                 } ?: continue
                 first = KindOrder.first(first, fitting, nowMs)
             }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationBook.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationBook.kt
@@ -63,8 +63,8 @@
 
     /** After [plan] uses less: lets reservations that waited for its limit be served. */
     fun headroomFreed(plan: PlanAccount) {
-        if (plan.reservations.isEmpty() || plan.mayAddBeside(Resources.NONE, Resources.NONE)) return
         for (reservation in plan.reservations) {
+            if (!isFree(reservation) || !plan.mayAdd(reservation.job.item.size)) continue
             reservation.holds.firstOrNull()?.let { workers.freed.add(it.room) }
         }
     }
--- a/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/RoundPlanner.kt
@@ -14,6 +14,9 @@
     private val planner: ReservationPlanner,
     private val backfill: Backfill,
 ) {
+    /** Queues found to fit a worker but not under their plan's limit; see [mayStart]. */
+    private val overLimit: ArrayList<ShapeQueue> = ArrayList()
+
     /** Decides at most [limit] placements, except that a gang larger than [limit] starts alone in a round. */
     fun placeUpTo(limit: Int): List<Placement> {
         starter.begin(limit)
@@ -54,7 +57,7 @@
                 if (!starter.hasSpaceFor(next.shape.gangParts)) return
                 if (next.state == QueueState.READY || next.shape.gangParts > 0) tryPlace(next) else fill(room, next)
             }
-            backfill.fill(room) { mayStart(it) }
+            backfill.fill(room)
         }
     }
 
@@ -68,13 +71,20 @@
             first = KindOrder.first(first, fitting, nowMs)
         }
         for (kind in queue.readyKinds) first = KindOrder.first(first, kind.ready.first(), nowMs)
+        if (overLimit.isNotEmpty()) {
+            overLimit.forEach { queue.block(it, QueueState.WAITS_FOR_LIMIT) }
+            overLimit.clear()
+        }
         return first
     }
 
+    /** A queue whose room is there but whose plan is at its limit has to wait for the limit from now on. */
     private fun mayStart(waiting: ShapeQueue): Boolean {
         val gangParts = waiting.shape.gangParts
-        return waiting.kindQueue.plan.mayAddBeside(waiting.wanted, ownReserved(waiting)) &&
-            (gangParts == 0 || workers.fitTogether(waiting.shape.size, gangParts))
+        if (gangParts > 0 && !workers.fitTogether(waiting.shape.size, gangParts)) return false
+        if (waiting.kindQueue.plan.mayAddBeside(waiting.wanted, ownReserved(waiting))) return true
+        overLimit.add(waiting)
+        return false
     }
 
     private fun fill(room: WorkerRoom, next: ShapeQueue) {
