--- a/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationPlanner.kt
+++ b/placement/src/main/kotlin/dev/bronzeshore/placement/ReservationPlanner.kt
@@ -125,6 +125,8 @@
         val startAtMs = minOf(chosen.last().atMs, nowMs + MAX_WAIT_MS)
         val reservation = reservations.open(job, purpose, startAtMs)
         for ((room, openings) in chosen.groupBy { it.room }) reservations.keep(reservation, room, openings.size)
+        // Room that is free already is used in this round, not at the next check.
+        if (startAtMs <= nowMs) reservation.holds.forEach { workers.freed.add(it.room) }
         return true
     }
 
--- a/placement/src/test/kotlin/dev/bronzeshore/placement/PolicyTest.kt
+++ b/placement/src/test/kotlin/dev/bronzeshore/placement/PolicyTest.kt
@@ -171,6 +171,23 @@
         assertEquals(listOf("entitled", "entitled"), engine.step().placements.map { it.jobId })
     }
 
+    /** Guards against a job that was passed over for its plan's limit and not tried again when the limit allows it. */
+    @Test
+    fun `a job that waited for room and then for its limit starts`() {
+        val engine = engine(clock, workers = 2)
+        engine.submit(job("a", cores(2)))
+        engine.submit(job("x", cores(6)).copy(plan = "q"))
+        engine.submit(job("y", cores(8)).copy(plan = "q"))
+        assertEquals(3, engine.step().placements.size)
+        engine.submit(job("b", cores(4)))
+        assertTrue(engine.step().placements.isEmpty())
+        engine.setAllowances(listOf(allowance("p", cores(4)), allowance("q")))
+        engine.end("y")
+        assertTrue(engine.step().placements.isEmpty())
+        engine.end("a")
+        assertEquals(listOf("b"), engine.step().placements.map { it.jobId })
+    }
+
     private class UsageCase(val name: String, val reports: Int, val used: Resources, val placed: Int)
 
     /** Guards against estimates from too few reports, and against memory that is given away twice. */
