--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/DataCentreJobs.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/DataCentreJobs.kt
@@ -182,6 +182,9 @@
     /** What the owner knows of an open job, or null. */
     public fun status(jobId: String): JobStatus? = tracker.find(jobId)?.let(::statusOf)
 
+    /** True if parts of an open job may be stopped and run again. */
+    public fun isIdempotent(jobId: String): Boolean = tracker.find(jobId)?.record?.submission?.idempotent == true
+
     /** Open jobs, oldest first. */
     public fun list(limit: Int): List<JobStatus> = tracker.openJobs.take(limit).map(::statusOf)
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/DataCentreSupervisor.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/DataCentreSupervisor.kt
@@ -109,7 +109,8 @@
 
     private fun startTenure(gained: Gained): Tenure {
         val scope = CoroutineScope(context.controlScope.coroutineContext + SupervisorJob())
-        val placer = PlacementEngine(context.clock)
+        var handled: DataCentreJobs? = null
+        val placer = PlacementEngine(context.clock, mayStop = { jobId -> handled?.isIdempotent(jobId) == true })
         val jobs = DataCentreJobs(
             JobsContext(
                 authority = OwnerAuthority(
@@ -128,6 +129,7 @@
                 listeners = context.listeners,
             ),
         )
+        handled = jobs
         val ledger = AllotmentLedger(dataCentre, context.clock) { ownership.actUntilMs }
         val started = Tenure(gained.term, gained.previousEffectsUntilMs, scope, placer, jobs, ledger)
         applyView(started)
