--- a/jobs/src/test/kotlin/dev/bronzeshore/jobs/DataCentreJobsTest.kt
+++ b/jobs/src/test/kotlin/dev/bronzeshore/jobs/DataCentreJobsTest.kt
@@ -146,6 +146,14 @@
         }
     }
 
+    /** Guards against a takeover that lasts a heartbeat period longer since its first reports do not count. */
+    @Test
+    fun `a new owner has recovered as soon as reports count`() = runTest {
+        val (jobs, _) = Cell(this).takeOver()
+        advanceTimeBy(2 * CLOCK_DRIFT_MS + 100)
+        assertTrue(jobs.isRecovered)
+    }
+
     @Test
     fun `a part on an unreachable worker waits for its lease before a new owner starts it again`() = runTest {
         val cell = Cell(this)
