Submit enough jobs for the whole store outage in its test

Cause: with 44 jobs for each data centre, two of three runs had no waiting job left in ridge before the outage ended; a gap in the starts then says nothing about the outage, and the test failed for that reason. Change: 72 jobs for each data centre. Conclusion: the checks stay as strict; the test has work for the whole outage.

--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/StoreFaultProcessTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/StoreFaultProcessTest.kt
@@ -105,7 +105,7 @@
 
     private companion object {
         /** Four run at a time and each takes a heartbeat of 2 s: enough for the outage after all are accepted. */
-        const val JOBS_FOR_OUTAGE = 44
+        const val JOBS_FOR_OUTAGE = 72
         const val JOBS_WITH_DROPS = 10
     }
 }
