--- a/server/src/test/kotlin/dev/bronzeshore/server/ModuleGraphTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/ModuleGraphTest.kt
@@ -47,7 +47,7 @@
     @ValueSource(strings = ["server", "ctl"])
     fun `stand-ins are never shipped`(module: String) {
         val reachable = graph.reachableFrom(module)
-        assertTrue("stand-ins" !in reachable && "bench" !in reachable) { "$module depends on $reachable" }
+        assertTrue("stand-ins" !in reachable && "benchmarks" !in reachable) { "$module depends on $reachable" }
     }
 
     @Test
@@ -80,7 +80,7 @@
         private val FEATURE_MODULES = sortedSetOf(
             "audit", "jobs", "membership", "ownership", "peering", "placement", "plans", "platform", "requests",
         )
-        private val OTHER_MODULES = setOf("bench", "core", "ctl", "server", "spec", "stand-ins")
+        private val OTHER_MODULES = setOf("benchmarks", "core", "ctl", "server", "spec", "stand-ins")
 
         @JvmStatic
         fun featureModules(): List<String> = FEATURE_MODULES.toList()
