Settle lost configuration writes without relying on a fresh read

Cause: after a lost answer and a change by another writer, a stale read of the audit row made a change that had taken effect look refused.

Change: SettledWrite asks with a condition on the audit row instead of a read. Faults before the write is sent are reported as not run.

--- a/plans/src/main/kotlin/dev/bronzeshore/plans/ConfigurationWriter.kt
+++ b/plans/src/main/kotlin/dev/bronzeshore/plans/ConfigurationWriter.kt
@@ -15,6 +15,7 @@
 import dev.bronzeshore.core.Fault
 import dev.bronzeshore.core.MarkRequest
 import dev.bronzeshore.core.MarkedVm
+import dev.bronzeshore.core.Outcome
 import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.TableApi
 import dev.bronzeshore.core.Transaction
@@ -74,7 +75,7 @@
     }
 
     private suspend fun change(edit: Edit, expectedVersion: Long?, dryRun: Boolean): Either<Fault, ApplyAnswer> =
-        table.read(ConfigurationRow.KEY).flatMap(ConfigurationRow::decode).flatMap { before ->
+        table.read(ConfigurationRow.KEY).flatMap(ConfigurationRow::decode).mapLeft(::notWritten).flatMap { before ->
             val after = edit.change(before).copy(version = before.version + 1)
             val changes = ConfigurationDiffer.describe(before, after)
             // Content that is already in force is a success at any lower expected version: it is what a repeat of a
@@ -95,7 +96,7 @@
     /** Lets the table service confirm that [configuration] is not a stale read, without writing a row. */
     private suspend fun confirm(configuration: Configuration): Either<Fault, ApplyAnswer> {
         val condition = Condition(ConfigurationRow.KEY, configuration.version)
-        return table.write(Transaction(newWriteId(), listOf(condition))).flatMap { result ->
+        return table.write(Transaction(newWriteId(), listOf(condition))).mapLeft(::notWritten).flatMap { result ->
             when (result) {
                 is WriteResult.Conflict -> conflict(configuration.version, result.actualVersion).left()
                 else -> ApplyAnswer(configuration.version, emptyList(), applied = false).right()
@@ -156,6 +157,13 @@
         Unit.right()
     }
 
+    /** Before the write is sent, nothing can have been written, whatever the code of the fault says. */
+    private fun notWritten(fault: Fault): Fault = if (fault.code.outcome == Outcome.NOT_RUN) {
+        fault
+    } else {
+        fault.copy(code = ResultCode.STORE_UNAVAILABLE)
+    }
+
     private fun conflict(expected: Long, actual: Long): Fault = Fault(
         ResultCode.VERSION_CONFLICT,
         "Expected version $expected, but the current version is $actual.",
--- a/plans/src/main/kotlin/dev/bronzeshore/plans/SettledWrite.kt
+++ b/plans/src/main/kotlin/dev/bronzeshore/plans/SettledWrite.kt
@@ -4,10 +4,10 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import dev.bronzeshore.core.Condition
 import dev.bronzeshore.core.Fault
 import dev.bronzeshore.core.Outcome
 import dev.bronzeshore.core.ResultCode
-import dev.bronzeshore.core.Row
 import dev.bronzeshore.core.TableApi
 import dev.bronzeshore.core.Transaction
 import dev.bronzeshore.core.WriteResult
@@ -46,12 +46,7 @@
                 pause(attempt)
             }
         }
-        return Fault(
-            ResultCode.WRITE_UNKNOWN,
-            "The answer to write ${transaction.writeId} was lost and the table service could not be asked.",
-            guardKey,
-            "a repeat of the same command",
-        ).left()
+        return unknown("the table service does not answer").left()
     }
 
     private suspend fun settleAnswer(result: WriteResult): Either<Fault, WriteResult> = when {
@@ -61,18 +56,24 @@
         else -> settleByReceipt(result)
     }
 
-    // An earlier attempt of this write may have caused the conflict and may have been replaced since.
-    private suspend fun settleByReceipt(conflict: WriteResult.Conflict): Either<Fault, WriteResult> =
-        table.read(receiptKey).fold(
-            {
-                Fault(
-                    ResultCode.WRITE_UNKNOWN,
-                    "The answer to write ${transaction.writeId} was lost: ${it.message}",
-                    receiptKey,
-                ).left()
-            },
-            { row: Row? -> (if (row == null) conflict else WriteResult.Applied).right() },
+    /**
+     * An earlier attempt of this write may have caused the conflict, and another writer may have replaced its row.
+     * A condition tells whether the receipt exists: unlike a read, the table service cannot answer it with old data.
+     */
+    private suspend fun settleByReceipt(conflict: WriteResult.Conflict): Either<Fault, WriteResult> {
+        val probe = Transaction("${transaction.writeId}-probe", listOf(Condition(receiptKey, 0)))
+        return table.write(probe).fold(
+            { unknown(it.message).left() },
+            { (if (it is WriteResult.Conflict) WriteResult.Applied else conflict).right() },
         )
+    }
+
+    private fun unknown(reason: String): Fault = Fault(
+        ResultCode.WRITE_UNKNOWN,
+        "The answer to write ${transaction.writeId} was lost and could not be settled: $reason",
+        guardKey,
+        "a repeat of the same command",
+    )
 
     private suspend fun showsThisWrite(key: String): Boolean =
         table.read(key).fold({ false }, { it?.writeId == transaction.writeId })
--- a/plans/src/test/kotlin/dev/bronzeshore/plans/ListReadersTest.kt
+++ b/plans/src/test/kotlin/dev/bronzeshore/plans/ListReadersTest.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
 
 /** Guards against faults in the operators' files that are missed, reported one by one, or without a place. */
 class ListReadersTest {
@@ -38,6 +39,21 @@
         assertFalse("open-sesame" in faults.toString())
     }
 
+    @Test
+    fun `a damaged file is never a crash, and each fault has a line`() {
+        val valid = """{"plans": [ // x\n {"name": "a", "tokenSha256": "$HASH", "kinds": [{"name": "k"}]}]}"""
+        val random = Random(1)
+        repeat(5_000) {
+            val damaged = StringBuilder(valid)
+            repeat(1 + random.nextInt(3)) {
+                val at = random.nextInt(damaged.length)
+                damaged.replace(at, at + random.nextInt(2), "{}[]\",:/*\\\n1a ".random(random).toString())
+            }
+            val faults = PlanListReader().read("f", damaged.toString()).leftOrNull().orEmpty()
+            assertTrue(faults.all { fault -> fault.place.orEmpty().startsWith("f:") }, "$damaged: $faults")
+        }
+    }
+
     private fun summary(fault: Fault) = "${fault.code.number} ${fault.place}"
 
     internal companion object {
