--- a/peering/src/main/kotlin/dev/bronzeshore/peering/PeerLink.kt
+++ b/peering/src/main/kotlin/dev/bronzeshore/peering/PeerLink.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -69,7 +70,7 @@
             }
         } catch (failure: Exception) {
             close(failure)
-            throw failure as? kotlinx.coroutines.CancellationException ?: return
+            throw failure as? CancellationException ?: return
         } finally {
             close(IOException("the connection ended"))
             socket.close()
--- a/requests/src/main/kotlin/dev/bronzeshore/requests/EndpointConnection.kt
+++ b/requests/src/main/kotlin/dev/bronzeshore/requests/EndpointConnection.kt
@@ -1,6 +1,7 @@
 /** One connection to an endpoint, used for one exchange. */
 package dev.bronzeshore.requests
 
+import io.ktor.http.cio.HttpHeadersMap
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
@@ -66,7 +67,7 @@
         socket.close()
     }
 
-    private fun io.ktor.http.cio.HttpHeadersMap.lineAt(offset: Int): HeaderLine =
+    private fun HttpHeadersMap.lineAt(offset: Int): HeaderLine =
         HeaderLine(nameAtOffset(offset).toString(), valueAtOffset(offset).toString())
 
     private fun framingOf(method: String, status: Int, headers: List<HeaderLine>): Framing {
--- a/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/BronzeshoreProcess.kt
@@ -1,7 +1,6 @@
 /** One running process: builds all parts, connects them and drives their periodic work. */
 package dev.bronzeshore.server
 
-import arrow.core.right
 import dev.bronzeshore.audit.AuditPruner
 import dev.bronzeshore.audit.AuditReader
 import dev.bronzeshore.audit.AuditRetention
@@ -16,10 +15,8 @@
 import dev.bronzeshore.ownership.Member
 import dev.bronzeshore.ownership.MemberDirectory
 import dev.bronzeshore.ownership.PROCESS_ROW_EVERY_MS
-import dev.bronzeshore.peering.CallHandler
 import dev.bronzeshore.peering.PeerClient
 import dev.bronzeshore.peering.PeerServer
-import dev.bronzeshore.peering.handlerOf
 import dev.bronzeshore.plans.ConfigurationHolder
 import dev.bronzeshore.plans.ConfigurationRefresher
 import dev.bronzeshore.plans.ConfigurationWriter
@@ -46,7 +43,7 @@
 
 /** The list is the largest regular message; leaving VMs must get no new work after 3 s. */
 private const val VMS_EVERY_MS = 2_000L
-private const val ALLOTMENTS_EVERY_MS = 500L
+private const val ALLOTMENTS_EVERY_MS = 1_000L
 private const val ADMISSION_TICK_MS = 100L
 private const val PRUNE_EVERY_MS = 3_600_000L
 private const val PEER_TIMEOUT_MS = 800L
@@ -147,7 +144,11 @@
     /** Listens on all ports and starts the periodic work. */
     suspend fun start() {
         withContext(control) { configuration.listen(::onConfiguration) }
-        PeerServer(selector, clock, peerHandlers()).start(settings.peers.host, settings.peers.port, trafficScope)
+        PeerServer(
+            selector,
+            clock,
+            peerHandlers(control, ownerService, configuration),
+        ).start(settings.peers.host, settings.peers.port, trafficScope)
         httpPorts.start()
         startLoops()
         log.info { "Process ${self.processId} listens for callers on port ${settings.callers.port}." }
@@ -206,23 +207,6 @@
         }
     }
 
-    private fun peerHandlers(): List<CallHandler> = listOf(
-        handlerOf(PeerCalls.promise) { withContext(control) { ownerService.promise(it) } },
-        handlerOf(PeerCalls.handOver) { withContext(control) { ownerService.handOver(it) } },
-        handlerOf(PeerCalls.allotments) { withContext(control) { ownerService.allot(it) } },
-        handlerOf(PeerCalls.jobSubmit) { withContext(control) { ownerService.submit(it) } },
-        handlerOf(PeerCalls.jobQuery) { withContext(control) { ownerService.status(it) } },
-        handlerOf(PeerCalls.jobCancel) { withContext(control) { ownerService.cancel(it) } },
-        handlerOf(PeerCalls.jobList) { withContext(control) { ownerService.list(it) } },
-        handlerOf(PeerCalls.configurationPull) { withContext(control) { configuration.current.right() } },
-        handlerOf(PeerCalls.configurationPush) { pushed ->
-            withContext(control) {
-                configuration.offer(pushed)
-                configuration.current.version.right()
-            }
-        },
-    )
-
     private fun snapshot() = ProcessSnapshot(
         ownedDataCentres = dataCentres.all.count { it.ownership.mayAct() },
         openJobs = dataCentres.all.sumOf { supervisor -> supervisor.jobs.fold({ 0 }, { it.openCount }) },
--- a/server/src/main/kotlin/dev/bronzeshore/server/DataCentreSupervisor.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/DataCentreSupervisor.kt
@@ -33,6 +33,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 
 /** What all supervisors of a process share. */
@@ -108,7 +109,9 @@
     }
 
     private fun startTenure(gained: Gained): Tenure {
-        val scope = CoroutineScope(context.controlScope.coroutineContext + SupervisorJob())
+        val scope = CoroutineScope(
+            context.controlScope.coroutineContext + SupervisorJob(context.controlScope.coroutineContext.job),
+        )
         var handled: DataCentreJobs? = null
         val placer = PlacementEngine(context.clock, mayStop = { jobId -> handled?.isIdempotent(jobId) == true })
         val jobs = DataCentreJobs(
--- a/server/src/main/kotlin/dev/bronzeshore/server/HttpPorts.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/HttpPorts.kt
@@ -11,6 +11,7 @@
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
@@ -75,7 +76,7 @@
         }
     }
 
-    private fun io.ktor.server.routing.Route.healthRoutes() {
+    private fun Route.healthRoutes() {
         get("/healthz") { call.respondText("alive\n") }
         get("/readyz") {
             val isReady = callers.readiness.isReady
@@ -84,7 +85,7 @@
         }
     }
 
-    private fun io.ktor.server.routing.Route.unknownRoute() = route("{...}") {
+    private fun Route.unknownRoute() = route("{...}") {
         handle {
             val fault = Fault(ResultCode.UNKNOWN_ROUTE, "There is no such path on this port.")
             call.respondFault(fault, callers.clock())
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/ClusterTest.kt
@@ -0,0 +1,25 @@
+/** Starts one cluster for all tests of a class. */
+package dev.bronzeshore.server.processes
+
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.MethodOrderer
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestMethodOrder
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+
+/** The tests run in their stated order, since each one leaves the cluster to the next. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
+internal abstract class ClusterTest(private val size: Int) {
+    protected lateinit var cluster: ProcessCluster
+
+    @BeforeAll
+    fun startCluster(@TempDir folder: Path) {
+        cluster = ProcessCluster(folder, size)
+    }
+
+    @AfterAll
+    fun endCluster() = cluster.close()
+}
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/EntryProcess.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/EntryProcess.kt
@@ -19,7 +19,9 @@
 
     fun isAnswering(): Boolean = http.send(HttpCall("GET", "$operatorUrl/healthz")).status == HTTP_OK
 
-    fun isReady(): Boolean = http.send(HttpCall("GET", "$callerUrl/readyz")).status == HTTP_OK
+    fun isReady(): Boolean = readyStatus() == HTTP_OK
+
+    fun readyStatus(): Int = http.send(HttpCall("GET", "$callerUrl/readyz")).status
 
     fun status(): ProcessStatus? {
         val reply = http.send(HttpCall("GET", "$operatorUrl/v1/status", token = OPERATOR_TOKEN))
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/OwnerLossProcessTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/OwnerLossProcessTest.kt
@@ -1,35 +1,16 @@
 /** Owners that die or pause, as real processes. */
 package dev.bronzeshore.server.processes
 
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
-import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.api.TestInstance
-import org.junit.jupiter.api.TestMethodOrder
-import org.junit.jupiter.api.io.TempDir
-import java.nio.file.Path
 
 private const val TAKEOVER_BOUND_MS = 5_000L
 private const val PAUSE_MS = 8_000L
 private const val END_TIMEOUT_MS = 60_000L
 
-@TestInstance(TestInstance.Lifecycle.PER_CLASS)
-@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
-internal class OwnerLossProcessTest {
-    private lateinit var cluster: ProcessCluster
-
-    @BeforeAll
-    fun startCluster(@TempDir folder: Path) {
-        cluster = ProcessCluster(folder, size = 4)
-    }
-
-    @AfterAll
-    fun endCluster() = cluster.close()
-
+internal class OwnerLossProcessTest : ClusterTest(size = 4) {
     /** Guards against a data centre that stays without an owner, and against work lost or repeated by the takeover. */
     @Test
     @Order(1)
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/PlannedChangeProcessTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/PlannedChangeProcessTest.kt
@@ -6,18 +6,13 @@
 import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.VmMark
 import dev.bronzeshore.core.WireJson
-import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Assertions.assertArrayEquals
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
-import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.api.TestInstance
-import org.junit.jupiter.api.TestMethodOrder
-import org.junit.jupiter.api.io.TempDir
-import java.nio.file.Path
 import java.util.concurrent.Callable
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executors
 
 private const val LEAVING_BOUND_MS = 3_000L
@@ -26,20 +21,9 @@
 private const val STOP_TIMEOUT_MS = 60_000L
 private const val READY_TIMEOUT_MS = 40_000L
 private const val HTTP_CONFLICT = 409
+private const val HTTP_SERVICE_UNAVAILABLE = 503
 
-@TestInstance(TestInstance.Lifecycle.PER_CLASS)
-@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
-internal class PlannedChangeProcessTest {
-    private lateinit var cluster: ProcessCluster
-
-    @BeforeAll
-    fun startCluster(@TempDir folder: Path) {
-        cluster = ProcessCluster(folder, size = 3)
-    }
-
-    @AfterAll
-    fun endCluster() = cluster.close()
-
+internal class PlannedChangeProcessTest : ClusterTest(size = 3) {
     /** Guards against operators who overwrite each other's change without noticing. */
     @Test
     @Order(1)
@@ -123,6 +107,22 @@
         }
     }
 
+    /** Guards against ports that close together with the signal, while the balancer still sends requests. */
+    @Test
+    @Order(5)
+    fun `a planned stop answers a request whose body is still arriving`() {
+        val entry = cluster.entries.last()
+        SlowUpload(entry.settings.callers.port).use { upload ->
+            upload.sendFirstHalf()
+            val stopping = CompletableFuture.supplyAsync { entry.child.stop(STOP_TIMEOUT_MS) }
+            awaitUntil("the process says that it is not ready", WATCH_MS) {
+                entry.readyStatus() == HTTP_SERVICE_UNAVAILABLE
+            }
+            assertArrayEquals(upload.body, upload.finish())
+            assertTrue(stopping.get(), cluster::logs)
+        }
+    }
+
     private fun request(expectedVersion: Long, weight: Int) =
         ApplyRequest(expectedVersion, clusterPlans, clusterAllowances(weight), operator = "operator-$weight")
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/ProcessCluster.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/ProcessCluster.kt
@@ -7,6 +7,7 @@
 import dev.bronzeshore.server.PlatformAddresses
 import dev.bronzeshore.server.Settings
 import dev.bronzeshore.standins.Faults
+import dev.bronzeshore.standins.PlatformPlan
 import dev.bronzeshore.standins.ServerRecords
 import java.net.ServerSocket
 import java.nio.file.Path
@@ -44,7 +45,7 @@
 
     private fun startPlatform(): StandInAddresses {
         val plan = folder.resolve("platform.json")
-        plan.writeText(StrictJson.encodeToString(dev.bronzeshore.standins.PlatformPlan.serializer(), platformPlan))
+        plan.writeText(StrictJson.encodeToString(PlatformPlan.serializer(), platformPlan))
         val file = folder.resolve("addresses.json")
         val arguments = listOf("platform", "--file", "$plan", "--addresses", "$file")
         val child = ChildProcess("dev.bronzeshore.standins.MainKt", arguments, folder.resolve("platform.log"))
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/StoreFaultProcessTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/StoreFaultProcessTest.kt
@@ -6,18 +6,11 @@
 import dev.bronzeshore.standins.DownMode
 import dev.bronzeshore.standins.Faults
 import dev.bronzeshore.standins.ServerRecords
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotNull
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
-import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.api.TestInstance
-import org.junit.jupiter.api.TestMethodOrder
-import org.junit.jupiter.api.io.TempDir
-import java.nio.file.Path
 
 /** Four times the ownership lease. */
 private const val OUTAGE_MS = 12_000L
@@ -28,19 +21,7 @@
 private const val DROPPED_SHARE = 0.05
 private const val DROP_SEED = 20_261L
 
-@TestInstance(TestInstance.Lifecycle.PER_CLASS)
-@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
-internal class StoreFaultProcessTest {
-    private lateinit var cluster: ProcessCluster
-
-    @BeforeAll
-    fun startCluster(@TempDir folder: Path) {
-        cluster = ProcessCluster(folder, size = 3)
-    }
-
-    @AfterAll
-    fun endCluster() = cluster.close()
-
+internal class StoreFaultProcessTest : ClusterTest(size = 3) {
     /** Guards against owners that depend on the table service to go on, and against lost or repeated work after it. */
     @Test
     @Order(1)
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/StreamingProcessTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/StreamingProcessTest.kt
@@ -2,15 +2,10 @@
 package dev.bronzeshore.server.processes
 
 import dev.bronzeshore.standins.RecordJudge
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.api.TestInstance
-import org.junit.jupiter.api.io.TempDir
-import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
 
@@ -23,18 +18,7 @@
 private const val PIPELINES = 8
 private const val PIPELINED_REQUESTS = 24
 
-@TestInstance(TestInstance.Lifecycle.PER_CLASS)
-internal class StreamingProcessTest {
-    private lateinit var cluster: ProcessCluster
-
-    @BeforeAll
-    fun startCluster(@TempDir folder: Path) {
-        cluster = ProcessCluster(folder, size = 3)
-    }
-
-    @AfterAll
-    fun endCluster() = cluster.close()
-
+internal class StreamingProcessTest : ClusterTest(size = 3) {
     /** Guards against answers that are cut off or given to another caller, and against bodies kept in memory. */
     @Test
     fun `each of 50 callers gets its own whole answers for bodies of all sizes`() {
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/sample/SampleWork.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/sample/SampleWork.kt
@@ -1,6 +1,7 @@
 /** Sends one of each kind of work of the quickstart's plans and prints what became of it. */
 package dev.bronzeshore.standins.sample
 
+import dev.bronzeshore.core.JobRecord
 import dev.bronzeshore.core.JobState
 import dev.bronzeshore.core.JobSubmission
 import dev.bronzeshore.core.JobView
@@ -120,7 +121,7 @@
         }
         val kind = job.submission.kind
         if (!response.status.isSuccess()) return SampleResult(kind, "-", null, response.bodyAsText(), ok = false)
-        val jobId = WireJson.decodeFromString<dev.bronzeshore.core.JobRecord>(response.bodyAsText()).jobId
+        val jobId = WireJson.decodeFromString<JobRecord>(response.bodyAsText()).jobId
         return awaitEnd(job, jobId, giveUpAtMs)
     }
 
