--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/PlannedChangeProcessTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/PlannedChangeProcessTest.kt
@@ -21,6 +21,10 @@
 private const val STOP_TIMEOUT_MS = 60_000L
 private const val READY_TIMEOUT_MS = 40_000L
 private const val HTTP_CONFLICT = 409
+
+/** The balancer asks each second; a stopping process answers it for 2 s. */
+private const val BALANCER_MS = 1_200L
+private const val UPLOAD_MS = 5_000L
 private const val HTTP_SERVICE_UNAVAILABLE = 503
 
 internal class PlannedChangeProcessTest : ClusterTest(size = 3) {
@@ -118,6 +122,14 @@
             awaitUntil("the process says that it is not ready", WATCH_MS) {
                 entry.readyStatus() == HTTP_SERVICE_UNAVAILABLE
             }
+            val signalledAtMs = System.currentTimeMillis()
+            awaitUntil("the balancer has had time to notice", WATCH_MS) {
+                assertEquals(HTTP_SERVICE_UNAVAILABLE, entry.readyStatus(), cluster::logs)
+                System.currentTimeMillis() > signalledAtMs + BALANCER_MS
+            }
+            awaitUntil("the upload is slower than that", UPLOAD_MS * 2) {
+                System.currentTimeMillis() > signalledAtMs + UPLOAD_MS
+            }
             assertArrayEquals(upload.body, upload.finish())
             assertTrue(stopping.get(), cluster::logs)
         }
