Test bad input against a running process

Cause: only the reader of submissions was tested; that a process keeps serving and loses nothing accepted was not.

--- a/jobs/src/main/kotlin/dev/bronzeshore/jobs/TaskDispatcher.kt
+++ b/jobs/src/main/kotlin/dev/bronzeshore/jobs/TaskDispatcher.kt
@@ -84,14 +84,8 @@
     )
 
     private suspend fun sendStarts(session: WorkerSession, starts: List<TaskStart>) {
-        val fault = if (context.mayAct()) {
-            exchange(
-                session,
-                starts,
-            )
-        } else {
-            Fault(ResultCode.NOT_OWNER, "The lease ran out.")
-        }
+        val fault =
+            if (context.mayAct()) exchange(session, starts) else Fault(ResultCode.NOT_OWNER, "The lease ran out.")
         if (fault != null && fault.code.outcome == Outcome.NOT_RUN) {
             starts.forEach { start ->
                 val job = tracker.find(start.task.jobId)
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/EntryProcess.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/EntryProcess.kt
@@ -52,6 +52,10 @@
         return http.sendAsync(HttpCall("POST", url, requestId.toByteArray(), CALLER_TOKEN, headers))
     }
 
+    /** Sends any call to the callers' port. */
+    fun call(method: String, path: String, body: ByteArray, token: String?, headers: Map<String, String>): HttpReply =
+        http.send(HttpCall(method, "$callerUrl$path", body, token, headers))
+
     fun submit(key: String, submission: JobSubmission): HttpReply {
         val body = WireJson.encodeToString(JobSubmission.serializer(), submission).toByteArray()
         val headers = mapOf("Idempotency-Key" to key)
