--- /dev/null
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/ProxyTest.kt
@@ -0,0 +1,72 @@
+/** A proxy with its callers and endpoints for tests. */
+package dev.bronzeshore.requests
+
+import io.ktor.utils.io.ByteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.close
+import io.ktor.utils.io.readAvailable
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import java.util.zip.CRC32
+
+internal abstract class ProxyTest {
+    protected val proxy = RequestProxy(Dispatchers.Default, System::currentTimeMillis)
+
+    @AfterEach
+    fun close() = proxy.close()
+
+    protected class Answer {
+        var status = 0
+        var headers = emptyList<HeaderLine>()
+        var whole = false
+        val text = StringBuilder()
+        var bytes = 0L
+        val checksum = CRC32()
+    }
+
+    protected fun responder(answer: Answer): Responder = { head, writeBody ->
+        answer.status = head.status
+        answer.headers = head.headers
+        val channel = ByteChannel()
+        coroutineScope {
+            val reader = launch {
+                val buffer = ByteArray(65_536)
+                while (true) {
+                    val count = channel.readAvailable(buffer)
+                    if (count < 0) break
+                    if (answer.bytes < 1_000) answer.text.append(String(buffer, 0, count))
+                    answer.bytes += count
+                    answer.checksum.update(buffer, 0, count)
+                }
+            }
+            try {
+                writeBody(channel)
+                answer.whole = true
+            } finally {
+                channel.flushAndClose()
+                reader.join()
+            }
+        }
+    }
+
+    protected fun request(
+        method: String = "GET",
+        path: String = "/",
+        body: ByteReadChannel = ByteReadChannel.Empty,
+        length: Long? = 0,
+        headers: List<HeaderLine> = emptyList(),
+    ) = IncomingRequest("utility", "stockCheck", "stock", method, path, headers, body, length, idempotent = false)
+
+    protected suspend fun attempt(address: String, request: IncomingRequest, answer: Answer = Answer()): AttemptEnd {
+        val body = ReplayableBody(request.body, request.contentLength, keep = false)
+        return withTimeout(60_000) { proxy.attempt(address, request, body, Long.MAX_VALUE, responder(answer)) }
+    }
+
+    protected fun serving(serve: (TestExchange) -> Unit, test: suspend (TestEndpoint) -> Unit) {
+        TestEndpoint(serve).use { endpoint -> runBlocking(Dispatchers.Default) { test(endpoint) } }
+    }
+}
--- a/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
@@ -3,10 +3,8 @@
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.close
-import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
@@ -15,7 +13,6 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
-import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertInstanceOf
 import org.junit.jupiter.api.Assertions.assertNull
@@ -27,63 +24,7 @@
 import java.io.IOException
 import java.util.zip.CRC32
 
-class RequestProxyTest {
-    private val proxy = RequestProxy(Dispatchers.Default, System::currentTimeMillis)
-
-    @AfterEach
-    fun close() = proxy.close()
-
-    private class Answer {
-        var status = 0
-        var headers = emptyList<HeaderLine>()
-        var whole = false
-        val text = StringBuilder()
-        var bytes = 0L
-        val checksum = CRC32()
-    }
-
-    private fun responder(answer: Answer): Responder = { head, writeBody ->
-        answer.status = head.status
-        answer.headers = head.headers
-        val channel = ByteChannel()
-        coroutineScope {
-            val reader = launch {
-                val buffer = ByteArray(65_536)
-                while (true) {
-                    val count = channel.readAvailable(buffer)
-                    if (count < 0) break
-                    if (answer.bytes < 1_000) answer.text.append(String(buffer, 0, count))
-                    answer.bytes += count
-                    answer.checksum.update(buffer, 0, count)
-                }
-            }
-            try {
-                writeBody(channel)
-                answer.whole = true
-            } finally {
-                channel.flushAndClose()
-                reader.join()
-            }
-        }
-    }
-
-    private fun request(
-        method: String = "GET",
-        path: String = "/",
-        body: ByteReadChannel = ByteReadChannel.Empty,
-        length: Long? = 0,
-        headers: List<HeaderLine> = emptyList(),
-    ) = IncomingRequest("utility", "stockCheck", "stock", method, path, headers, body, length, idempotent = false)
-
-    private suspend fun attempt(address: String, request: IncomingRequest, answer: Answer = Answer()): AttemptEnd {
-        val body = ReplayableBody(request.body, request.contentLength, keep = false)
-        return withTimeout(60_000) { proxy.attempt(address, request, body, Long.MAX_VALUE, responder(answer)) }
-    }
-
-    private fun serving(serve: (TestExchange) -> Unit, test: suspend (TestEndpoint) -> Unit) {
-        TestEndpoint(serve).use { endpoint -> runBlocking(Dispatchers.Default) { test(endpoint) } }
-    }
-
+internal class RequestProxyTest : ProxyTest() {
     @ParameterizedTest
     @ValueSource(strings = ["/", "/a%20b/c%2Fd", "/q?b=1&a=2&b=3", "/q?flag&x=%C3%B8+y", "/a//b;v=1?"])
     fun `guards against a path or query that is changed on the way`(path: String) =
