--- /dev/null
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/CallerAnswers.kt
@@ -0,0 +1,51 @@
+/** Answers to the callers that submit, query and cancel jobs. */
+package dev.bronzeshore.core.cluster
+
+import kotlinx.serialization.Serializable
+
+/** The state of a job as callers see it. */
+@Serializable
+public enum class JobPhase { PENDING, RUNNING, COMPLETED, FAILED, CANCELLED }
+
+/** How a submission ended. */
+@Serializable
+public sealed interface SubmitAnswer {
+    /** The job is stored. */
+    @Serializable
+    public data object Accepted : SubmitAnswer
+
+    /** The job was not stored and never runs; the caller may try again after [retryAfterMs]. */
+    @Serializable
+    public data class Rejected(
+        public val reason: String,
+        public val retryAfterMs: Long,
+        public val isOverload: Boolean,
+    ) : SubmitAnswer
+
+    /** It is not known whether the job was stored. */
+    @Serializable
+    public data class Unknown(public val reason: String) : SubmitAnswer
+}
+
+/** How a query for a job's state ended. */
+@Serializable
+public sealed interface StateAnswer {
+    @Serializable
+    public data class Found(public val phase: JobPhase) : StateAnswer
+
+    @Serializable
+    public data object NoSuchJob : StateAnswer
+
+    @Serializable
+    public data object Unavailable : StateAnswer
+}
+
+/** What callers may ask of any process. */
+public class JobDesk(
+    public val submit: suspend (AcceptedJob) -> SubmitAnswer,
+    public val stateOf: suspend (jobId: String) -> StateAnswer,
+    /** True once the cancellation is stored. */
+    public val cancel: suspend (jobId: String) -> Boolean,
+    /** Number of jobs of a queue without a started task, or null if it is not known. */
+    public val waitingIn: suspend (queue: String) -> Int?,
+)
--- /dev/null
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -0,0 +1,64 @@
+/** Tables and parts of the store that hold bronzeshore's own state. */
+package dev.bronzeshore.core.cluster
+
+import dev.bronzeshore.core.WireCbor
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+
+/** Names of tables and parts, and the layout of keys. */
+public object Tables {
+    /** Rows that only the leader writes share this part, so that a transaction can require the leader's term. */
+    public const val LEADER_PART: String = "lead"
+
+    /** Who leads, and the leader's sign of life. */
+    public const val LEADER: String = "leader"
+    public val TERM_ROW: RowId = RowId(LEADER, LEADER_PART, "term")
+    public val BEAT_ROW: RowId = RowId(LEADER, LEADER_PART, "beat")
+
+    /** The progress of each job that has started. */
+    public const val PROGRESS: String = "progress"
+
+    /** Workers that may run tasks, and numbers that callers ask for. */
+    public const val LEADER_NOTES: String = "notes"
+    public val ROSTER_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "roster")
+    public val WAITING_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "waiting")
+
+    /** Accepted jobs and cancellations; any process writes here. */
+    public const val INTAKE: String = "intake"
+
+    /** One part takes 200 transactions a second; callers send up to 200 submissions a second at the largest site. */
+    public val INTAKE_PARTS: List<String> = listOf("0", "1", "2", "3")
+
+    /** Addresses of the processes. */
+    public const val NODES: String = "nodes"
+    public const val NODES_PART: String = "all"
+
+    /** Sorts after every key that begins with a job id and ends with a printable character. */
+    private const val LAST_CHARACTER = "~"
+    private const val CANCEL_SUFFIX = ".cancel"
+
+    public fun intakePartOf(jobId: String): String = INTAKE_PARTS[Math.floorMod(jobId.hashCode(), INTAKE_PARTS.size)]
+
+    public fun acceptedRow(jobId: String): RowId = RowId(INTAKE, intakePartOf(jobId), jobId)
+
+    public fun cancelRow(jobId: String): RowId = RowId(INTAKE, intakePartOf(jobId), jobId + CANCEL_SUFFIX)
+
+    /** The job that a cancellation row names, or null for other rows. */
+    public fun cancelledJobOf(key: String): String? = key.removeSuffix(CANCEL_SUFFIX).takeIf { it != key }
+
+    public fun progressRow(jobId: String): RowId = RowId(PROGRESS, LEADER_PART, jobId)
+
+    /** The range that holds exactly the rows of [jobId] in a table keyed by job. */
+    public fun rowsOfJob(table: String, part: String, jobId: String): RowRangeQuery =
+        RowRangeQuery(table, part, jobId, jobId + LAST_CHARACTER)
+}
+
+/** Encodes a row of bronzeshore's own. */
+@OptIn(ExperimentalSerializationApi::class)
+public fun <T> encodeRow(serializer: KSerializer<T>, value: T): ByteArray =
+    WireCbor.encodeToByteArray(serializer, value)
+
+/** Decodes a row of bronzeshore's own; throws [IllegalArgumentException] if it is malformed. */
+@OptIn(ExperimentalSerializationApi::class)
+public fun <T> decodeRow(serializer: KSerializer<T>, bytes: ByteArray): T =
+    WireCbor.decodeFromByteArray(serializer, bytes)
--- /dev/null
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreDesk.kt
@@ -0,0 +1,83 @@
+/** Answers callers from the store, so that any process can answer for any job. */
+package dev.bronzeshore.intake
+
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.JobDesk
+import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.RowRangeQuery
+import dev.bronzeshore.core.cluster.RowWrite
+import dev.bronzeshore.core.cluster.StateAnswer
+import dev.bronzeshore.core.cluster.StoreOutcome
+import dev.bronzeshore.core.cluster.StoreTransaction
+import dev.bronzeshore.core.cluster.StoredRow
+import dev.bronzeshore.core.cluster.SubmitAnswer
+import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.WaitingCounts
+import dev.bronzeshore.core.cluster.decodeRow
+import kotlinx.coroutines.CoroutineScope
+
+/** Callers accept counts that are two seconds old; the leader writes them up to half a second late. */
+private const val COUNTS_MAX_AGE_MS = 700L
+
+/** Creates the desk; its writers run in [scope]. */
+public fun createStoreDesk(store: ClusterStore, clock: ClockMs, scope: CoroutineScope): JobDesk {
+    val desk = StoreDesk(store, clock, scope)
+    return JobDesk(desk::submit, desk::stateOf, desk::cancel, desk::waitingIn)
+}
+
+private class StoreDesk(private val store: ClusterStore, private val clock: ClockMs, scope: CoroutineScope) {
+    private val log = EventLog("intake")
+    private val writers = Tables.INTAKE_PARTS.associateWith { SubmissionWriter(store, scope) }
+    private var counts: WaitingCounts? = null
+    private var countsReadAtMs = 0L
+
+    suspend fun submit(job: AcceptedJob): SubmitAnswer = writers.getValue(Tables.intakePartOf(job.jobId)).submit(job)
+
+    suspend fun stateOf(jobId: String): StateAnswer {
+        val progress = rowsOf(Tables.PROGRESS, Tables.LEADER_PART, jobId) ?: return StateAnswer.Unavailable
+        progress.firstOrNull { it.id.key == jobId }?.value?.let { value ->
+            return StateAnswer.Found(decodeRow(JobProgress.serializer(), value).phase)
+        }
+        val intake = rowsOf(Tables.INTAKE, Tables.intakePartOf(jobId), jobId) ?: return StateAnswer.Unavailable
+        return when {
+            intake.none { it.id.key == jobId } -> StateAnswer.NoSuchJob
+            intake.any { Tables.cancelledJobOf(it.id.key) != null } -> StateAnswer.Found(JobPhase.CANCELLED)
+            else -> StateAnswer.Found(JobPhase.PENDING)
+        }
+    }
+
+    private suspend fun rowsOf(table: String, part: String, jobId: String): List<StoredRow>? =
+        store.readPage(Tables.rowsOfJob(table, part, jobId)).fold(
+            ifLeft = { failure ->
+                log.event("state_unavailable", "job" to jobId, "cause" to failure)
+                null
+            },
+            ifRight = { it.rows },
+        )
+
+    /** The cancellation is stored also for an unknown job: its submission may still be on its way to the store. */
+    suspend fun cancel(jobId: String): Boolean {
+        val transaction = StoreTransaction(writes = listOf(RowWrite(Tables.cancelRow(jobId), ByteArray(0))))
+        var outcome = store.transact(transaction)
+        if (outcome is StoreOutcome.Unknown) outcome = store.transact(transaction)
+        log.event("cancellation", "job" to jobId, "outcome" to outcome::class.simpleName)
+        return outcome is StoreOutcome.Applied
+    }
+
+    suspend fun waitingIn(queue: String): Int? {
+        if (clock() - countsReadAtMs > COUNTS_MAX_AGE_MS) readCounts()
+        return counts?.let { it.byQueue[queue] ?: 0 }
+    }
+
+    private suspend fun readCounts() {
+        val query = RowRangeQuery(Tables.LEADER_NOTES, Tables.LEADER_PART, Tables.WAITING_ROW.key, Tables.WAITING_ROW.key + "~")
+        val page = store.readPage(query).getOrNull() ?: return
+        countsReadAtMs = clock()
+        counts = page.rows.firstOrNull()?.value?.let { decodeRow(WaitingCounts.serializer(), it) }
+            ?: WaitingCounts(emptyMap())
+    }
+}
--- /dev/null
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
@@ -0,0 +1,180 @@
+/**
+ * Follows who leads the cluster, takes over when the leader is lost, and renews the own term.
+ *
+ * A takeover writes the term row under the condition that neither term nor sign of life has changed, so that at most one
+ * process wins. All later writes of a leader require the version of its term row: a former leader can change nothing.
+ * A leader that the store does not answer keeps its term, because no other process can take over through that store
+ * without raising the fence at the workers first.
+ */
+package dev.bronzeshore.leadership
+
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.ReadFailure
+import dev.bronzeshore.core.cluster.RowCondition
+import dev.bronzeshore.core.cluster.RowRangeQuery
+import dev.bronzeshore.core.cluster.RowWrite
+import dev.bronzeshore.core.cluster.StoreOutcome
+import dev.bronzeshore.core.cluster.StoreTransaction
+import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.encodeRow
+import kotlinx.coroutines.delay
+import kotlin.random.Random
+
+/** Period of the leader's sign of life; a third of the time after which it counts as lost. */
+internal const val BEAT_EVERY_MS = 650L
+
+/** Longest wait of a change feed; a connection that has fallen silent is noticed this much later. */
+private const val FEED_WAIT_MS = 1_000L
+private const val RETRY_MS = 150L
+
+/** Candidates spread over this time, so that most of them see that another one has won. */
+private const val CANDIDATE_SPREAD_MS = 40L
+
+/** What happens when leadership passes. */
+public class LeaderEvents(
+    public val gained: suspend (LeaderTerm) -> Unit,
+    public val lost: suspend (LeaderTerm) -> Unit,
+)
+
+/** Runs on the control thread. [candidateDelayMs] is shorter on larger machines. */
+public class LeaderElection(
+    private val store: ClusterStore,
+    private val processName: String,
+    private val bootId: String,
+    private val clock: ClockMs,
+    private val candidateDelayMs: Long,
+    private val events: LeaderEvents,
+) {
+    private val log = EventLog("leadership")
+    private val view = LeaderView(processName, bootId, clock)
+    private var held: LeaderTerm? = null
+    private var beatNumber = 0L
+    private var isStopping = false
+
+    /** The term held by this process, or null. */
+    public val currentTerm: LeaderTerm? get() = held
+
+    /** Time of the steady clock of the last confirmed renewal. */
+    public var renewedAtMs: Long = 0
+        private set
+
+    /** Follows the leader until cancelled. */
+    public suspend fun run() {
+        while (!readAll()) delay(RETRY_MS)
+        while (true) {
+            if (held == null) follow() else renew()
+        }
+    }
+
+    /** Gives up the term so that another process takes over at once. */
+    public suspend fun release() {
+        isStopping = true
+        val term = held ?: return
+        val outcome = store.transact(beatTransaction(term, isReleased = true))
+        log.event("released", "term" to term.term, "outcome" to outcome)
+        stepDown(term)
+    }
+
+    /** Another process may lead: confirms the own term at once or steps down. */
+    public suspend fun confirm() {
+        if (held != null) beat()
+    }
+
+    private var feedVersion = 0L
+
+    private suspend fun readAll(): Boolean {
+        val page = store.readPage(RowRangeQuery(Tables.LEADER, Tables.LEADER_PART)).getOrNull() ?: return false
+        view.observe(page.rows)
+        view.storeAnswered()
+        feedVersion = page.version
+        return true
+    }
+
+    private suspend fun follow() {
+        if (view.mayTakeOver() && !isStopping) return takeOver()
+        store.changes(Tables.LEADER, feedVersion, FEED_WAIT_MS).fold(
+            ifLeft = { failure ->
+                view.storeFailed()
+                if (failure is ReadFailure.HistoryGone) readAll()
+                delay(RETRY_MS)
+            },
+            ifRight = { page ->
+                view.observe(page.rows)
+                view.storeAnswered()
+                feedVersion = maxOf(feedVersion, page.version)
+            },
+        )
+    }
+
+    private suspend fun takeOver() {
+        delay(candidateDelayMs + Random.nextLong(CANDIDATE_SPREAD_MS))
+        if (!readAll() || !view.mayTakeOver()) return
+        val term = TermRow((view.term?.term ?: 0) + 1, processName, bootId)
+        val outcome = store.transact(
+            StoreTransaction(
+                conditions = listOf(
+                    RowCondition(Tables.TERM_ROW, view.termVersion),
+                    RowCondition(Tables.BEAT_ROW, view.beatVersion),
+                ),
+                writes = listOf(
+                    RowWrite(Tables.TERM_ROW, encodeRow(TermRow.serializer(), term)),
+                    RowWrite(Tables.BEAT_ROW, encodeRow(BeatRow.serializer(), BeatRow(term.term, 0))),
+                ),
+            ),
+        )
+        log.event("takeover", "term" to term.term, "outcome" to outcome::class.simpleName, "former" to view.term?.bootId)
+        when (outcome) {
+            is StoreOutcome.Applied -> lead(LeaderTerm(term.term, outcome.version))
+            is StoreOutcome.Unknown -> settleTakeover(term)
+            else -> delay(RETRY_MS)
+        }
+    }
+
+    /** Finds out whether a takeover without an answer took effect; a late write is found by a later turn. */
+    private suspend fun settleTakeover(term: TermRow) {
+        delay(RETRY_MS)
+        if (readAll() && view.term == term) lead(LeaderTerm(term.term, view.termVersion))
+    }
+
+    private suspend fun lead(term: LeaderTerm) {
+        held = term
+        beatNumber = 0
+        renewedAtMs = clock()
+        log.event("gained", "term" to term.term, "version" to term.termRowVersion)
+        events.gained(term)
+    }
+
+    private suspend fun renew() {
+        delay(BEAT_EVERY_MS)
+        beat()
+    }
+
+    private suspend fun beat() {
+        val term = held ?: return
+        val sentAtMs = clock()
+        when (val outcome = store.transact(beatTransaction(term, isReleased = false))) {
+            is StoreOutcome.Applied -> renewedAtMs = sentAtMs
+            is StoreOutcome.Conflict -> stepDown(term)
+            else -> log.event("renewal_failed", "term" to term.term, "outcome" to outcome)
+        }
+    }
+
+    private fun beatTransaction(term: LeaderTerm, isReleased: Boolean): StoreTransaction {
+        val row = BeatRow(term.term, ++beatNumber, isReleased)
+        return StoreTransaction(
+            conditions = listOf(RowCondition(Tables.TERM_ROW, term.termRowVersion)),
+            writes = listOf(RowWrite(Tables.BEAT_ROW, encodeRow(BeatRow.serializer(), row))),
+        )
+    }
+
+    /** Ends the own term; called as well when another write of the leader met a newer term. */
+    public suspend fun stepDown(term: LeaderTerm) {
+        if (held != term) return
+        held = null
+        log.event("lost", "term" to term.term)
+        events.lost(term)
+        while (!readAll()) delay(RETRY_MS)
+    }
+}
--- a/peering/src/main/kotlin/dev/bronzeshore/peering/PeerClient.kt
+++ b/peering/src/main/kotlin/dev/bronzeshore/peering/PeerClient.kt
@@ -37,7 +37,9 @@
         deadlineMs: Long,
     ): Either<Fault, A> = try {
         val body = WireCbor.encodeToByteArray(type.request, request)
-        val frame = withTimeoutOrNull(deadlineMs - clock()) { linkTo(address).call(type.name, body, deadlineMs) }
+        val link = linkTo(address)
+        val frame = withTimeoutOrNull(deadlineMs - clock()) { link.call(type.name, body, deadlineMs) }
+        if (frame == null) link.abandon()
         frame?.toReply(type) ?: unavailable(address, "no reply before the deadline").left()
     } catch (failure: CancellationException) {
         throw failure
@@ -45,6 +47,11 @@
         unavailable(address, failure.message).left()
     }
 
+    /** Ends the connection to [address] after a call without a reply; it may have fallen silent for good. */
+    public fun abandon(address: String) {
+        links[address]?.abandon()
+    }
+
     private fun linkTo(address: String): PeerLink = links.compute(address) { _, old ->
         old?.takeUnless { it.isClosed } ?: PeerLink(selector, address, scope)
     }!!
--- a/peering/src/main/kotlin/dev/bronzeshore/peering/PeerLink.kt
+++ b/peering/src/main/kotlin/dev/bronzeshore/peering/PeerLink.kt
@@ -28,6 +28,9 @@
     private val writeLock = Mutex()
     private var output: ByteWriteChannel? = null
 
+    @Volatile
+    private var socket: Socket? = null
+
     @Volatile
     var isClosed: Boolean = false
         private set
@@ -45,6 +48,9 @@
         }
     }
 
+    /** Ends the connection after a call without a reply: a connection can fall silent for good without a reset. */
+    fun abandon(): Unit = close(IOException("a call on this connection got no reply in time"))
+
     private suspend fun send(frame: Frame) = try {
         writeLock.withLock { FrameCodec.write(output ?: connect().also { output = it }, frame) }
     } catch (failure: Exception) {
@@ -57,6 +63,7 @@
         val host = address.substringBeforeLast(':')
         val port = address.substringAfterLast(':').toInt()
         val socket = aSocket(selector).tcp().connect(host, port) { noDelay = true }
+        this.socket = socket
         val input = socket.openReadChannel()
         scope.launch { readReplies(socket, input) }
         return socket.openWriteChannel()
@@ -79,6 +86,7 @@
 
     private fun close(cause: Exception) {
         isClosed = true
+        socket?.close()
         pending.values.forEach { it.completeExceptionally(IOException(cause.message ?: "connection closed", cause)) }
     }
 }
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobBook.kt
@@ -0,0 +1,59 @@
+/** All jobs that the leader knows. Not thread-safe. */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.TaskName
+
+internal class JobBook {
+    private val jobs = LinkedHashMap<String, TrackedJob>()
+    private val open = LinkedHashMap<String, TrackedJob>()
+    private val cancelled = HashSet<String>()
+    private val storedProgress = HashMap<String, JobProgress>()
+
+    val openJobs: Collection<TrackedJob> get() = open.values
+    val allJobs: Collection<TrackedJob> get() = jobs.values
+
+    fun find(jobId: String): TrackedJob? = jobs[jobId]
+
+    fun task(name: TaskName): TrackedTask? = jobs[name.jobId]?.task(name)
+
+    /** Notes what a former leader stored; it is applied when the job itself is added. */
+    fun noteProgress(jobId: String, progress: JobProgress) {
+        storedProgress[jobId] = progress
+    }
+
+    /** Adds an accepted job; null if it is known already. */
+    fun add(accepted: AcceptedJob, version: Long, nowMs: Long): TrackedJob? {
+        if (accepted.jobId in jobs) return null
+        val job = TrackedJob(accepted, version, nowMs)
+        storedProgress.remove(job.id)?.let { job.restore(it) }
+        jobs[job.id] = job
+        if (job.isOpen) open[job.id] = job
+        return job
+    }
+
+    /** Notes a cancellation; returns the job if it is open. A cancellation may come before its job. */
+    fun cancel(jobId: String): TrackedJob? {
+        cancelled += jobId
+        return jobs[jobId]?.takeIf { it.isOpen }
+    }
+
+    fun isCancelled(jobId: String): Boolean = jobId in cancelled
+
+    fun close(job: TrackedJob, phase: JobPhase, endedAtMs: Long) {
+        job.phase = phase
+        job.endedAtMs = endedAtMs
+        open.remove(job.id)
+    }
+
+    fun forget(job: TrackedJob) {
+        jobs.remove(job.id)
+        cancelled.remove(job.id)
+    }
+
+    /** Jobs without a started task, by queue. */
+    fun waitingByQueue(): Map<String, Int> =
+        open.values.filter { job -> job.steps.none { it.hasStarted } }.groupingBy { it.terms.queue }.eachCount()
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -0,0 +1,120 @@
+/** Moves jobs from acceptance to their end, and tasks from one run to the next. */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.EndKind
+import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.TaskEnd
+
+/** Pause before a task starts again after a run that was lost or stopped, so that a fast failure does not spin. */
+private const val RESTART_PAUSE_MS = 20L
+
+/** Pause before a service task starts again. */
+private const val SERVICE_RESTART_PAUSE_MS = 200L
+
+internal class JobLifecycle(private val context: TermContext, private val stopper: RunStopper) {
+    private val book get() = context.book
+
+    /** Takes in an accepted job; repeated calls have no effect. */
+    fun accept(accepted: AcceptedJob, version: Long) {
+        val ageMs = (context.timeOfDay() - accepted.acceptedAtMs).coerceIn(0, MAX_AGE_MS)
+        val job = book.add(accepted, version, context.clock() - ageMs) ?: return
+        context.log.event(
+            "job_known", "job" to job.id, "queue" to job.terms.queue, "phase" to job.phase, "version" to version,
+            "age_ms" to ageMs, "objective_in_ms" to job.objectiveAtMs - context.clock(),
+        )
+        if (job.isOpen && book.isCancelled(job.id)) close(job, JobPhase.CANCELLED, "cancelled before it was known")
+        context.wakePlanner()
+    }
+
+    fun cancel(jobId: String) {
+        val job = book.cancel(jobId) ?: return
+        close(job, JobPhase.CANCELLED, "cancelled by its caller")
+    }
+
+    /** Takes in the end of [placement]'s run. */
+    fun ended(placement: Placement, end: TaskEnd) {
+        val task = placement.task
+        placement.worker.remove(placement)
+        context.metrics.end(end.kind.name)
+        noteEnd(task, end, placement.worker)
+    }
+
+    /** Takes in an end whose run this leader did not order; it counts unless another run has replaced it. */
+    fun endedUnplaced(worker: TrackedWorker, end: TaskEnd) {
+        val task = book.task(end.run.task) ?: return
+        if (task.placement != null || end.run.run < task.lastRun) return
+        task.lastRun = end.run.run
+        noteEnd(task, end, worker)
+    }
+
+    /** The run does not exist any more and has left no end. */
+    fun lost(placement: Placement, reason: String) {
+        placement.worker.remove(placement)
+        context.log.event("run_lost", "task" to placement.run.task, "run" to placement.run.run, "worker" to placement.worker.id, "reason" to reason)
+        restartLater(placement.task)
+    }
+
+    private fun noteEnd(task: TrackedTask, end: TaskEnd, worker: TrackedWorker) {
+        val job = task.step.job
+        context.log.event(
+            "run_ended", "task" to end.run.task, "run" to end.run.run, "worker" to worker.id, "end" to end.kind,
+            "end_number" to end.number,
+        )
+        task.hasStarted = true
+        if (!job.isOpen || task.isDone) return context.wakePlanner()
+        end.checkpoint?.let { keepCheckpoint(task, it) }
+        when (end.kind) {
+            EndKind.DONE -> done(task)
+            EndKind.FAILED -> failed(task, end, worker)
+            else -> restartLater(task)
+        }
+        context.noteChange(job)
+        context.wakePlanner()
+    }
+
+    private fun keepCheckpoint(task: TrackedTask, checkpoint: String) =
+        if (task.step.description.isGang) task.step.shareCheckpoint(checkpoint) else task.checkpoint = checkpoint
+
+    private fun done(task: TrackedTask) {
+        val step = task.step
+        if (step.description.isService) return restartLater(task)
+        if (step.description.isGang) step.markAllDone() else task.isDone = true
+        if (step.isDone && step.job.steps.all { it.isDone }) close(step.job, JobPhase.COMPLETED, "all tasks are done")
+    }
+
+    private fun failed(task: TrackedTask, end: TaskEnd, worker: TrackedWorker) {
+        val step = task.step
+        task.failedOn += worker.id
+        val failures = if (step.description.isGang) step.countGangFailure(end.run.run) else ++task.failedRuns
+        if (!step.description.isService && failures >= step.job.terms.maxAttempts) {
+            close(step.job, JobPhase.FAILED, "task ${task.name} failed $failures times")
+        } else {
+            restartLater(task)
+        }
+    }
+
+    private fun restartLater(task: TrackedTask) {
+        val pauseMs = if (task.step.description.isService) SERVICE_RESTART_PAUSE_MS else RESTART_PAUSE_MS
+        task.notBeforeMs = context.clock() + pauseMs
+        context.wakePlanner()
+    }
+
+    private fun close(job: TrackedJob, phase: JobPhase, reason: String) {
+        book.close(job, phase, context.timeOfDay())
+        val durationMs = context.clock() - job.acceptedAtMs
+        context.log.event(
+            "job_ended", "job" to job.id, "queue" to job.terms.queue, "phase" to phase, "reason" to reason,
+            "duration_ms" to durationMs, "objective_ms" to job.objectiveAtMs - job.acceptedAtMs,
+        )
+        context.metrics.jobEnded(job.terms.queue, phase.name, durationMs)
+        job.steps.flatMap { it.tasks }.mapNotNull { it.placement }.forEach { stopper.stop(it, reason) }
+        context.noteChange(job)
+        context.wakePlanner()
+    }
+
+    private companion object {
+        /** Times of day differ between machines; an older job is treated as this old. */
+        const val MAX_AGE_MS = 120_000L
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -0,0 +1,164 @@
+/**
+ * Decides which tasks start where.
+ *
+ * A round goes through the waiting steps in order of urgency. A step takes room on the fastest workers that may run it
+ * and leaves the least room unused. A gang starts as a whole or not at all; while it waits, it keeps free room from
+ * later steps, so that a stream of small tasks cannot keep it waiting for ever.
+ */
+package dev.bronzeshore.scheduler
+
+/** Gangs that keep room free for themselves at a time; more would leave too much of the fleet idle. */
+private const val MAX_WAITING_GANGS = 3
+
+/** Weight of a worker's slowness against the share of its processors that would stay unused. */
+private const val SLOWNESS_WEIGHT = 4.0
+
+/** Weight of running away from the input data. */
+private const val REMOTE_WEIGHT = 2.0
+
+/** Weight of a worker on which the task has failed before. */
+private const val FAILED_BEFORE_WEIGHT = 8.0
+
+/** Run numbers of a term start above those of all earlier terms. */
+private const val RUNS_PER_TERM = 10_000L
+
+/** The starts of a round and the steps that need tickets before they can start. */
+internal class Plan(val starts: List<PlannedStart>, val adviceNeeded: List<TrackedStep>)
+
+internal class Planner(
+    private val context: TermContext,
+    /** False while runs of a former leader may exist that this leader has not found. */
+    private val mayStart: (TrackedJob) -> Boolean,
+) {
+    private val fleet get() = context.fleet
+
+    fun plan(): Plan {
+        val now = context.clock()
+        val round = Round(now)
+        rankedSteps(now).forEach { round.place(it.step) }
+        return Plan(round.starts, round.adviceNeeded)
+    }
+
+    private fun rankedSteps(now: Long): List<RankedStep> {
+        val timeOfDay = context.timeOfDay()
+        val ranked = ArrayList<RankedStep>()
+        for (job in context.book.openJobs) {
+            if (!mayStart(job)) continue
+            for (step in job.steps) {
+                val delayMs = step.dueAtMs?.let { (it - job.accepted.acceptedAtMs).coerceAtLeast(0) } ?: 0
+                val isDue = step.dueAtMs?.let { timeOfDay >= it } ?: true
+                if (isDue && step.isUnblocked && step.pendingTasks.isNotEmpty()) ranked += rank(step, now, delayMs)
+            }
+        }
+        return ranked.sortedWith(STEP_ORDER)
+    }
+
+    /** Workers that could ever run the step, whether they are busy or not. */
+    fun eligible(step: TrackedStep, nowMs: Long): List<TrackedWorker> =
+        fleet.accepting(step.job.terms.service, nowMs).filter { step.allows(it) }
+
+    private fun TrackedStep.allows(worker: TrackedWorker): Boolean {
+        val label = description.requiredLabel
+        return (label == null || label in worker.entry.labels) && room.fitsIn(worker.entry.capacity)
+    }
+
+    private inner class Round(private val now: Long) {
+        private val room = RoomView(fleet.workers)
+        private val eligibleByService = HashMap<String, List<TrackedWorker>>()
+        private var waitingGangs = 0
+        val starts = ArrayList<PlannedStart>()
+        val adviceNeeded = ArrayList<TrackedStep>()
+
+        fun place(step: TrackedStep) {
+            val tasks = step.pendingTasks.filter { it.notBeforeMs <= now }
+            if (tasks.isEmpty() || step.description.isGang && tasks.size < step.tasks.size) return
+            val workers = workersFor(step)
+            if (step.job.terms.advice != null && workers.any { !step.advice.isAsked(it.id) } && !step.advice.isKnown) {
+                adviceNeeded += step
+                return
+            }
+            val chosen = assign(step, tasks, workers)
+            when {
+                chosen.size == tasks.size -> startOrAsk(step, chosen)
+                step.description.isGang -> waitAsGang(step, tasks.size, workers)
+                chosen.isNotEmpty() -> startOrAsk(step, chosen)
+                step.needsMoreAdvice(workers) -> adviceNeeded += step
+            }
+        }
+
+        private fun TrackedStep.needsMoreAdvice(workers: List<TrackedWorker>) =
+            job.terms.advice != null && workers.any { !advice.isAsked(it.id) }
+
+        private fun workersFor(step: TrackedStep): List<TrackedWorker> {
+            val service = step.job.terms.service
+            return eligibleByService.getOrPut(service) { fleet.accepting(service, now) }.filter { step.allows(it) }
+        }
+
+        /** A worker for each task as far as there is room; a gang gets none unless all fit. */
+        private fun assign(
+            step: TrackedStep,
+            tasks: List<TrackedTask>,
+            workers: List<TrackedWorker>,
+        ): List<Pair<TrackedTask, TrackedWorker>> {
+            val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.id) }
+            val local = RoomView(allowed).also { copy -> allowed.forEach { copy.take(it, it.free - room.free(it)) } }
+            val onWorker = HashMap<TrackedWorker, Int>()
+            step.tasks.mapNotNull { it.placement?.worker }.forEach { onWorker.merge(it, 1, Int::plus) }
+            val limit = step.description.maxPerWorker.takeIf { it > 0 } ?: Int.MAX_VALUE
+            val result = ArrayList<Pair<TrackedTask, TrackedWorker>>()
+            for (task in tasks) {
+                val worker = allowed
+                    .filter { local.countFitting(it, step.room) > 0 && (onWorker[it] ?: 0) < limit }
+                    .minByOrNull { cost(task, it, local) } ?: break
+                local.take(worker, step.room)
+                onWorker.merge(worker, 1, Int::plus)
+                result += task to worker
+            }
+            return result
+        }
+
+        private fun cost(task: TrackedTask, worker: TrackedWorker, local: RoomView): Double {
+            val description = task.step.description
+            val capacity = worker.entry.capacity.processorsMillicores.coerceAtLeast(1)
+            val leftOver = (local.free(worker).processorsMillicores - task.step.room.processorsMillicores).toDouble() / capacity
+            val isRemote = description.dataRack?.let { it !in worker.entry.labels } ?: false
+            return SLOWNESS_WEIGHT * fleet.slownessOf(worker) + leftOver +
+                (if (isRemote) REMOTE_WEIGHT else 0.0) +
+                (if (worker.id in task.failedOn) FAILED_BEFORE_WEIGHT else 0.0)
+        }
+
+        /** Starts what has a valid ticket; otherwise keeps the room until the tickets have come. */
+        private fun startOrAsk(step: TrackedStep, chosen: List<Pair<TrackedTask, TrackedWorker>>) {
+            chosen.forEach { (_, worker) -> room.take(worker, step.room) }
+            val needsTicket = step.job.terms.advice != null
+            val ready = chosen.filter { (_, worker) -> !needsTicket || step.advice.ticketFor(worker.id, now) != null }
+            val isStarting = ready.size == chosen.size || !step.description.isGang
+            if (ready.size < chosen.size) adviceNeeded += step
+            if (!isStarting) return
+            val run = nextRun(step)
+            ready.mapTo(starts) { (task, worker) ->
+                val number = if (step.description.isGang) run else maxOf(task.lastRun + 1, firstRun())
+                PlannedStart(task, worker, number, step.advice.ticketFor(worker.id, now))
+            }
+        }
+
+        private fun nextRun(step: TrackedStep) = maxOf(step.tasks.maxOf { it.lastRun } + 1, firstRun())
+
+        private fun firstRun() = (context.term - 1) * RUNS_PER_TERM + 1
+
+        /** Keeps free room for a gang that does not fit now, if it can ever fit on the workers that may run it. */
+        private fun waitAsGang(step: TrackedStep, count: Int, workers: List<TrackedWorker>) {
+            if (step.needsMoreAdvice(workers)) adviceNeeded += step
+            val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.id) }
+            val couldFit = allowed.sumOf { step.room.countIn(it.entry.capacity).coerceAtMost(count).toLong() }
+            if (couldFit < count || waitingGangs >= MAX_WAITING_GANGS) return
+            waitingGangs++
+            var missing = count
+            for (worker in allowed.sortedBy { fleet.slownessOf(it) }) {
+                if (missing <= 0) break
+                missing -= step.room.countIn(worker.entry.capacity).coerceAtMost(missing)
+                room.take(worker, room.free(worker))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -0,0 +1,112 @@
+/**
+ * Stores the progress of jobs, many in one transaction, under the condition that this process still leads.
+ *
+ * An end is acknowledged to its worker, and a job is shown as ended, only after its row is stored.
+ */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.RosterWorker
+import dev.bronzeshore.core.cluster.RowCondition
+import dev.bronzeshore.core.cluster.RowWrite
+import dev.bronzeshore.core.cluster.StoreOutcome
+import dev.bronzeshore.core.cluster.StoreTransaction
+import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.WaitingCounts
+import dev.bronzeshore.core.cluster.WorkerRosterRow
+import dev.bronzeshore.core.cluster.encodeRow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** A transaction takes 100 entries; two are kept for the roster and the counts. */
+private const val MAX_JOBS_IN_BATCH = 90
+
+/** Shortest time between two writes; each one costs a priced call, and a job's end waits for at most this long. */
+private const val MIN_INTERVAL_MS = 15L
+
+/** Counts may be two seconds old when a caller sees them. */
+private const val COUNTS_EVERY_MS = 500L
+private const val RETRY_MS = 100L
+
+internal class ProgressJournal(private val context: TermContext, private val deposed: suspend () -> Unit) {
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var savedCounts: Map<String, Int>? = null
+    private var countsAtMs = Long.MIN_VALUE
+    private var savedRoster: Set<RosterWorker> = emptySet()
+
+    fun wake() {
+        wake.trySend(Unit)
+    }
+
+    /** The roster that a former leader left. */
+    fun adoptRoster(workers: List<RosterWorker>) {
+        savedRoster = workers.toSet()
+    }
+
+    suspend fun run() {
+        while (true) {
+            withTimeoutOrNull(COUNTS_EVERY_MS) { wake.receive() }
+            while (!flush()) delay(RETRY_MS)
+            delay(MIN_INTERVAL_MS)
+        }
+    }
+
+    /** Stores what has changed; false if some of it could not be stored. */
+    suspend fun flush(): Boolean {
+        val counts = dueCounts()
+        val roster = changedRoster()
+        if (context.changes.isEmpty && counts == null && roster == null) return true
+        val batch = context.changes.takeBatch(MAX_JOBS_IN_BATCH)
+        val writes = batch.jobs.map { RowWrite(Tables.progressRow(it.id), encodeRow(JobProgress.serializer(), it.toProgress())) } +
+            listOfNotNull(
+                counts?.let { RowWrite(Tables.WAITING_ROW, encodeRow(WaitingCounts.serializer(), WaitingCounts(it))) },
+                roster?.let { RowWrite(Tables.ROSTER_ROW, encodeRow(WorkerRosterRow.serializer(), WorkerRosterRow(it.toList()))) },
+            )
+        val startedAtMs = context.clock()
+        val condition = RowCondition(Tables.TERM_ROW, context.termRowVersion)
+        val outcome = context.store.transact(StoreTransaction(conditions = listOf(condition), writes = writes))
+        context.metrics.journalWrite(outcome::class.simpleName.orEmpty(), context.clock() - startedAtMs)
+        if (outcome is StoreOutcome.Applied) {
+            saved(batch, counts, roster)
+            return true
+        }
+        context.changes.putBack(batch)
+        context.log.event("journal_failed", "jobs" to batch.jobs.size, "outcome" to outcome::class.simpleName)
+        if (outcome is StoreOutcome.Conflict) deposed()
+        return false
+    }
+
+    private fun saved(batch: ChangeBatch, counts: Map<String, Int>?, roster: Set<RosterWorker>?) {
+        context.savedChange = maxOf(context.savedChange, batch.savedUpTo)
+        counts?.let {
+            savedCounts = it
+            countsAtMs = context.clock()
+        }
+        roster?.let { saved ->
+            savedRoster = saved
+            markSaved()
+        }
+        if (!context.changes.isEmpty) wake()
+    }
+
+    private fun markSaved() {
+        val added = context.fleet.workers.filter { !it.isOnRoster && it.toRoster() in savedRoster }
+        added.forEach { it.isOnRoster = true }
+        if (added.isNotEmpty()) context.wakePlanner()
+    }
+
+    private fun dueCounts(): Map<String, Int>? {
+        if (context.clock() - countsAtMs < COUNTS_EVERY_MS && savedCounts != null) return null
+        return context.book.waitingByQueue().takeIf { it != savedCounts }
+    }
+
+    private fun changedRoster(): Set<RosterWorker>? {
+        val wanted = context.fleet.workers.filterNot { it.isGone }.map { it.toRoster() }.toSet()
+        if (wanted != savedRoster) return wanted
+        markSaved()
+        return null
+    }
+}
+
+internal fun TrackedWorker.toRoster() = RosterWorker(id, life.startedAtMs, entry.address, entry.service)
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -0,0 +1,66 @@
+/**
+ * Takes over from a former leader.
+ *
+ * Starts are not stored, so a task of an older job may run on any worker that a former leader used. Such a task starts
+ * only once each of these workers has reported under this leader's fence, or its leases are over. Jobs that were stored
+ * after the takeover cannot have been started before and need not wait.
+ */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.WorkerRosterRow
+import dev.bronzeshore.core.cluster.decodeRow
+import kotlinx.coroutines.delay
+
+private const val RETRY_MS = 100L
+
+/** Versions from which the changes of the tables are followed. */
+internal class LoadedVersions(val intake: Long, val workers: Long)
+
+internal class Recovery(
+    private val context: TermContext,
+    private val dependencies: LeaderDependencies,
+    private val lifecycle: JobLifecycle,
+    private val registry: WorkerRegistry,
+    private val journal: ProgressJournal,
+) {
+    private val reader = TableReader(dependencies.store)
+    private var isComplete = false
+
+    /** Reads what former leaders stored and starts the sessions with the workers. */
+    suspend fun load(): LoadedVersions {
+        val startedAtMs = context.clock()
+        val workers = untilRead { reader.readTable(dependencies.workerTable) }
+        val notes = untilRead { reader.readTable(Tables.LEADER_NOTES) }
+        val roster = notes.rows.firstOrNull { it.id == Tables.ROSTER_ROW }?.value
+            ?.let { decodeRow(WorkerRosterRow.serializer(), it).workers }.orEmpty()
+        val progress = untilRead { reader.readTable(Tables.PROGRESS) }
+        for (row in progress.rows) row.value?.let { context.book.noteProgress(row.id.key, decodeRow(JobProgress.serializer(), it)) }
+        val intake = untilRead { reader.readTable(Tables.INTAKE) }
+        intake.rows.forEach { takeIntake(it, lifecycle) }
+        workers.rows.map { dependencies.decodeWorker(it) }.forEach { registry.addListed(it) }
+        journal.adoptRoster(roster)
+        roster.forEach { registry.addFormer(it) }
+        context.log.event(
+            "recovery_loaded", "term" to context.term, "jobs" to intake.rows.size, "open" to context.book.openJobs.size,
+            "workers" to context.fleet.workers.size, "duration_ms" to context.clock() - startedAtMs,
+        )
+        return LoadedVersions(intake.version, workers.version)
+    }
+
+    fun mayStart(job: TrackedJob): Boolean {
+        if (isComplete || job.storedVersion > context.termRowVersion) return true
+        if (registry.hasUnknownRuns) return false
+        isComplete = true
+        context.log.event("recovery_complete", "term" to context.term)
+        return true
+    }
+
+    private suspend fun untilRead(read: suspend () -> TableContent?): TableContent {
+        while (true) {
+            read()?.let { return it }
+            delay(RETRY_MS)
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunStopper.kt
@@ -0,0 +1,39 @@
+/** Stops runs and repeats the order until the worker confirms it. */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.TaskRun
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/** Pause between two stop orders for the same run. */
+private const val STOP_RETRY_MS = 250L
+
+internal class RunStopper(private val context: TermContext) {
+    /** Stops a run; its room stays taken until its end is listed. */
+    fun stop(placement: Placement, reason: String) {
+        if (placement.state == PlacementState.STOPPING) return
+        placement.state = PlacementState.STOPPING
+        placement.confirmedAtMs = null
+        log(placement.run, placement.worker, reason)
+        context.scope.launch {
+            repeatUntilConfirmed(placement.worker, placement.run) { placement.worker.placement(placement.run) != null }
+            placement.confirmedAtMs = context.clock()
+        }
+    }
+
+    /** Stops a run that must not be on the worker. */
+    fun stopStray(worker: TrackedWorker, run: TaskRun, reason: String) {
+        log(run, worker, reason)
+        context.scope.launch { repeatUntilConfirmed(worker, run) { run in worker.strayRuns } }
+    }
+
+    private suspend fun repeatUntilConfirmed(worker: TrackedWorker, run: TaskRun, isNeeded: () -> Boolean) {
+        while (isNeeded() && !worker.isGone) {
+            if (context.calls.stop(worker.entry, run, context.term)) return
+            delay(STOP_RETRY_MS)
+        }
+    }
+
+    private fun log(run: TaskRun, worker: TrackedWorker, reason: String) =
+        context.log.event("stop", "task" to run.task, "run" to run.run, "worker" to worker.id, "reason" to reason)
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -0,0 +1,14 @@
+/** Counters of the scheduler as function types, so that this module does not depend on a metrics library. */
+package dev.bronzeshore.scheduler
+
+/** What the scheduler counts. */
+public class SchedulerMetrics(
+    public val start: (result: String) -> Unit = {},
+    public val end: (kind: String) -> Unit = {},
+    public val look: () -> Unit = {},
+    public val journalWrite: (outcome: String, durationMs: Long) -> Unit = { _, _ -> },
+    /** Time from acceptance to the end of a job, by queue and phase. */
+    public val jobEnded: (queue: String, phase: String, durationMs: Long) -> Unit = { _, _, _ -> },
+    public val advice: (outcome: String) -> Unit = {},
+    public val invariantBroken: () -> Unit = {},
+)
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TableReader.kt
@@ -0,0 +1,39 @@
+/** Reads whole tables page by page. */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.RowRangeQuery
+import dev.bronzeshore.core.cluster.StoredRow
+import dev.bronzeshore.core.cluster.Tables
+
+/** Rows of a table, and a version from which the changes after them can be followed. */
+internal class TableContent(val rows: List<StoredRow>, val version: Long)
+
+internal class TableReader(private val store: ClusterStore) {
+    /** Reads all parts that the table can have; null if a part cannot be read now. */
+    suspend fun readTable(table: String): TableContent? {
+        val contents = partsOf(table).map { readPart(table, it) ?: return null }
+        return TableContent(contents.flatMap { it.rows }, contents.minOf { it.version })
+    }
+
+    /** Reads one part; the version is that of the first page, so that no later change is missed. */
+    suspend fun readPart(table: String, part: String): TableContent? {
+        val rows = ArrayList<StoredRow>()
+        var firstVersion: Long? = null
+        var fromKey: String? = null
+        while (true) {
+            val page = store.readPage(RowRangeQuery(table, part, fromKey)).getOrNull() ?: return null
+            firstVersion = firstVersion ?: page.version
+            rows += page.rows
+            if (!page.hasMore) return TableContent(rows, firstVersion)
+            fromKey = page.rows.last().id.key + "\u0001"
+        }
+    }
+
+    private fun partsOf(table: String): List<String> = when (table) {
+        Tables.INTAKE -> Tables.INTAKE_PARTS
+        Tables.PROGRESS, Tables.LEADER_NOTES, Tables.LEADER -> listOf(Tables.LEADER_PART)
+        Tables.NODES -> listOf(Tables.NODES_PART)
+        else -> listOf("")
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -0,0 +1,71 @@
+/** One step of a job in one occurrence. */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.StepDescription
+import dev.bronzeshore.core.cluster.StepName
+import dev.bronzeshore.core.cluster.StepProgress
+
+internal class TrackedStep(val job: TrackedJob, val occurrence: Int, val number: Int) {
+    val description: StepDescription = job.accepted.description.steps[number]
+    val name = StepName(job.accepted.jobId, occurrence, number)
+    val tasks: List<TrackedTask> = List(description.replicas) { TrackedTask(this, it) }
+    val advice = StepAdvice()
+
+    /** Runs of the gang in which a member failed. */
+    private val failedGangRuns = HashSet<Long>()
+
+    /** Failed runs of the gang that a former leader stored. */
+    private var storedGangFailures = 0
+
+    val isDone: Boolean get() = tasks.all { it.isDone }
+    val hasStarted: Boolean get() = tasks.any { it.hasStarted }
+
+    /** The steps that must be done first are done. */
+    val isUnblocked: Boolean get() = description.after.all { job.step(occurrence, it)?.isDone == true }
+
+    /** Tasks that need a worker; a gang starts as a whole, after all of its former run has ended. */
+    val pendingTasks: List<TrackedTask>
+        get() = when {
+            description.isGang && tasks.any { it.placement != null } -> emptyList()
+            else -> tasks.filter { !it.isDone && it.placement == null }
+        }
+
+    /** Time of day at which the step is due, or null when it is due at once. */
+    val dueAtMs: Long?
+        get() = job.accepted.description.schedule?.let { it.firstDueMs + occurrence * it.periodMs }
+
+    fun markAllDone() = tasks.forEach { it.isDone = true }
+
+    /** Counts a failed run of the gang once, however many members report it. */
+    fun countGangFailure(run: Long): Int {
+        failedGangRuns += run
+        return storedGangFailures + failedGangRuns.size
+    }
+
+    /** All members of a gang resume from the same checkpoint. */
+    fun shareCheckpoint(checkpoint: String) = tasks.forEach { it.checkpoint = checkpoint }
+
+    fun toProgress(): StepProgress? {
+        val gangFailures = storedGangFailures + failedGangRuns.size
+        val failures = tasks.filter { it.failedRuns > 0 }.associate { it.index to it.failedRuns }
+        val result = StepProgress(
+            occurrence = occurrence,
+            step = number,
+            doneTasks = tasks.filter { it.isDone }.map { it.index },
+            failedRuns = if (description.isGang && gangFailures > 0) mapOf(0 to gangFailures) else failures,
+            checkpoints = tasks.filter { !it.isDone }.mapNotNull { task -> task.checkpoint?.let { task.index to it } }
+                .toMap(),
+        )
+        return result.takeIf { it.doneTasks.isNotEmpty() || it.failedRuns.isNotEmpty() || it.checkpoints.isNotEmpty() }
+    }
+
+    fun restore(progress: StepProgress) {
+        for (index in progress.doneTasks) tasks.getOrNull(index)?.isDone = true
+        for ((index, checkpoint) in progress.checkpoints) tasks.getOrNull(index)?.checkpoint = checkpoint
+        if (description.isGang) {
+            storedGangFailures = progress.failedRuns[0] ?: 0
+        } else {
+            for ((index, count) in progress.failedRuns) tasks.getOrNull(index)?.failedRuns = count
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -0,0 +1,115 @@
+/** Follows which workers exist, runs a session with each, and ends those that are lost. */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.cluster.RosterWorker
+import dev.bronzeshore.core.cluster.WorkerChange
+import dev.bronzeshore.core.cluster.WorkerEntry
+import dev.bronzeshore.core.cluster.WorkerLife
+import kotlinx.coroutines.launch
+
+/** Error of the clocks and of the way of an order, added to the time after which a lease is over. */
+private const val LEASE_MARGIN_MS = 300L
+
+/** Slowest rate of a worker's clock, as a factor on the time that its leases can last. */
+private const val SLOW_CLOCK_FACTOR = 1.03
+
+internal class WorkerRegistry(
+    private val context: TermContext,
+    private val reports: ReportHandler,
+    private val lifecycle: JobLifecycle,
+) {
+    private val startedAtMs = context.clock()
+
+    /** Leases that a former leader granted are over after this steady time. */
+    private val formerLeasesUntilMs =
+        startedAtMs + (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs + LEASE_MARGIN_MS
+
+    /** Workers on which runs of a former leader may exist that this leader has not seen. */
+    val hasUnknownRuns: Boolean
+        get() = context.clock() < formerLeasesUntilMs && context.fleet.workers.any { !it.isContacted && !it.isGone && it.isFormer }
+
+    private val TrackedWorker.isFormer: Boolean get() = this in formerWorkers
+    private val formerWorkers = HashSet<TrackedWorker>()
+
+    /** Adds a worker on which a former leader may have started tasks. */
+    fun addFormer(worker: RosterWorker) {
+        val life = WorkerLife(worker.workerId, worker.startedAtMs)
+        if (context.fleet.find(life) != null || context.fleet.livesOf(life.workerId).any { it.life.startedAtMs > life.startedAtMs }) return
+        val entry = WorkerEntry(
+            life, worker.service, worker.address, dataCentre = "", isDraining = false, capacity = Resources.NONE,
+            labels = emptySet(), remainingMs = null,
+        )
+        add(entry).apply {
+            isListed = false
+            formerWorkers += this
+        }
+    }
+
+    /** Adds the workers that were listed when the term began; a former leader may have used each of them. */
+    fun addListed(change: WorkerChange) {
+        apply(change)
+        change.entry?.let { context.fleet.find(it.life) }?.let { formerWorkers += it }
+    }
+
+    fun apply(change: WorkerChange) {
+        val entry = change.entry
+        if (entry == null) return context.fleet.livesOf(change.workerId).forEach { unlist(it) }
+        for (older in context.fleet.livesOf(change.workerId)) {
+            if (older.life.startedAtMs > entry.life.startedAtMs) return
+            if (older.life.startedAtMs < entry.life.startedAtMs) end(older, "the worker has started again")
+        }
+        val known = context.fleet.find(entry.life) ?: return add(entry).let { }
+        if (known.entry.isDraining != entry.isDraining) context.log.event("worker_draining", "worker" to known.id, "draining" to entry.isDraining)
+        known.entry = entry
+        known.isListed = true
+        context.wakePlanner()
+    }
+
+    private fun add(entry: WorkerEntry): TrackedWorker {
+        val worker = context.fleet.add(entry)
+        context.log.event("worker_added", "worker" to worker.id, "started_at_ms" to worker.life.startedAtMs, "address" to entry.address)
+        context.scope.launch { WorkerSession(context, worker, reports, ::reborn).run() }
+        context.wakeJournal()
+        return worker
+    }
+
+    /** A draining worker that is no longer listed has left; another one may still run what it holds. */
+    private fun unlist(worker: TrackedWorker) {
+        worker.isListed = false
+        context.log.event("worker_unlisted", "worker" to worker.id, "draining" to worker.entry.isDraining)
+        if (worker.entry.isDraining) end(worker, "the worker has left")
+    }
+
+    private fun reborn(worker: TrackedWorker, startedAtMs: Long) {
+        if (worker.isGone) return
+        val entry = worker.entry.copy(life = WorkerLife(worker.id, startedAtMs), isDraining = false)
+        end(worker, "the worker says that it has started again")
+        if (context.fleet.find(entry.life) == null) add(entry)
+    }
+
+    /** Ends workers whose leases are certainly over and that do not answer. */
+    fun expireLeases() {
+        val now = context.clock()
+        context.fleet.refreshKinds()
+        for (worker in context.fleet.workers.toList().filter { !it.isReachable || !it.isContacted }) {
+            val isOver = if (worker.isContacted) {
+                worker.clock.isLeaseOver(now - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
+            } else {
+                now >= formerLeasesUntilMs
+            }
+            if (!isOver) continue
+            worker.placements.toList().forEach { lifecycle.lost(it, "its lease is over and its worker does not answer") }
+            if (!worker.isListed) end(worker, "the worker is not listed and does not answer")
+        }
+    }
+
+    private fun end(worker: TrackedWorker, reason: String) {
+        worker.isGone = true
+        context.log.event("worker_gone", "worker" to worker.id, "reason" to reason, "runs" to worker.placements.size)
+        worker.placements.toList().forEach { lifecycle.lost(it, reason) }
+        context.fleet.remove(worker)
+        context.wakeJournal()
+        context.wakePlanner()
+    }
+}
--- a/server/src/main/kotlin/dev/bronzeshore/server/HttpPorts.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/HttpPorts.kt
@@ -2,6 +2,7 @@
 package dev.bronzeshore.server
 
 import dev.bronzeshore.core.Fault
+import dev.bronzeshore.core.ListenAddress
 import dev.bronzeshore.core.ResultCode
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
--- a/server/src/main/kotlin/dev/bronzeshore/server/Main.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/Main.kt
@@ -3,6 +3,8 @@
 
 import arrow.core.Either
 import dev.bronzeshore.core.Fault
+import dev.bronzeshore.platform.cluster.PlatformLink
+import dev.bronzeshore.server.cluster.runClusterProcess
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
@@ -16,9 +18,12 @@
 private const val EXIT_BAD_SETTINGS = 1
 
 internal class ServerArguments {
-    @Argument(metaVar = "SETTINGS", usage = "settings file (JSON with comments)", required = true)
+    @Argument(metaVar = "SETTINGS", usage = "settings file (JSON with comments); not needed with --platform")
     var settingsFile: String = ""
 
+    @Option(name = "--platform", usage = "run on the users' platform, with the settings file that it names")
+    var onPlatform: Boolean = false
+
     @Option(name = "--check-settings", usage = "check the settings file and exit")
     var checkOnly: Boolean = false
 
@@ -37,12 +42,22 @@
         exitProcess(EXIT_USAGE)
     }
     if (arguments.help) return printUsage(parser)
+    if (arguments.onPlatform) return runClusterProcess(arguments.settingsFile.ifEmpty { platformSettingsFile() })
+    if (arguments.settingsFile.isEmpty()) {
+        printUsage(parser)
+        exitProcess(EXIT_USAGE)
+    }
     val settings = readSettings(arguments.settingsFile)
     if (arguments.checkOnly) println("${arguments.settingsFile} is valid.") else runProcess(settings)
 }
 
+private fun platformSettingsFile(): String = PlatformLink.settingsFile() ?: run {
+    System.err.println("The platform has named no settings file.")
+    exitProcess(EXIT_USAGE)
+}
+
 private fun printUsage(parser: CmdLineParser) {
-    System.err.println("bronzeshore [--check-settings] SETTINGS")
+    System.err.println("bronzeshore [--check-settings] SETTINGS | --platform [SETTINGS]")
     parser.printUsage(System.err)
 }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/Settings.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/Settings.kt
@@ -1,12 +1,9 @@
 /** Settings of one process, read once at start. */
 package dev.bronzeshore.server
 
+import dev.bronzeshore.core.ListenAddress
 import kotlinx.serialization.Serializable
 
-/** An address to listen on; port 0 lets the system choose. */
-@Serializable
-public data class ListenAddress(public val host: String, public val port: Int)
-
 /** Where the platform's services answer. */
 @Serializable
 public data class PlatformAddresses(public val tableUrl: String, public val vmListUrl: String)
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -0,0 +1,60 @@
+/** Metrics of a process on the platform. Thread-safe. */
+package dev.bronzeshore.server.cluster
+
+import dev.bronzeshore.scheduler.SchedulerMetrics
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+private const val MS_PER_SECOND = 1_000.0
+private val DURATION_BUCKETS_SECONDS = doubleArrayOf(0.005, 0.02, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
+
+internal class ClusterMetrics(configVersion: () -> Long, term: () -> Long) {
+    private val registry = PrometheusRegistry()
+    private val answers = counter("bronzeshore_caller_answers_total", "Answers to callers.", "method", "status")
+    private val starts = counter("bronzeshore_starts_total", "Start orders by result.", "result")
+    private val ends = counter("bronzeshore_run_ends_total", "Ends of runs by kind.", "kind")
+    private val looks = counter("bronzeshore_worker_looks_total", "Reports asked of workers.")
+    private val advice = counter("bronzeshore_advice_calls_total", "Calls for advice by outcome.", "outcome")
+    private val broken = counter("bronzeshore_invariants_broken_total", "Invariants found broken.")
+    private val journal = histogram("bronzeshore_journal_seconds", "Time of a journal write by outcome.", "outcome")
+    private val jobs = histogram("bronzeshore_job_seconds", "Time from acceptance to the end of a job.", "queue", "phase")
+
+    init {
+        gauge("bronzeshore_configuration_version", "Configuration in force.", configVersion)
+        gauge("bronzeshore_leader_term", "Term that this process leads, or 0.", term)
+    }
+
+    fun countAnswer(method: String, status: Int) = answers.labelValues(method, status.toString()).inc()
+
+    fun forScheduler() = SchedulerMetrics(
+        start = { starts.labelValues(it).inc() },
+        end = { ends.labelValues(it).inc() },
+        look = { looks.inc() },
+        journalWrite = { outcome, ms -> journal.labelValues(outcome).observe(ms / MS_PER_SECOND) },
+        jobEnded = { queue, phase, ms -> jobs.labelValues(queue, phase).observe(ms / MS_PER_SECOND) },
+        advice = { advice.labelValues(it).inc() },
+        invariantBroken = { broken.inc() },
+    )
+
+    /** All metrics in Prometheus' text format. */
+    fun scrape(): ByteArray {
+        val output = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(output, registry.scrape())
+        return output.toByteArray()
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+
+    private fun histogram(name: String, help: String, vararg labels: String): Histogram =
+        Histogram.builder().name(name).help(help).labelNames(*labels)
+            .classicUpperBounds(*DURATION_BUCKETS_SECONDS).classicOnly().register(registry)
+
+    private fun gauge(name: String, help: String, value: () -> Long) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -0,0 +1,177 @@
+/** One process on the platform: it answers callers, and one of the processes leads. */
+package dev.bronzeshore.server.cluster
+
+import arrow.core.right
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.SteadyClock
+import dev.bronzeshore.core.cluster.ClusterSettings
+import dev.bronzeshore.core.cluster.JobDesk
+import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.intake.createStoreDesk
+import dev.bronzeshore.leadership.LeaderElection
+import dev.bronzeshore.leadership.LeaderEvents
+import dev.bronzeshore.leadership.LeaderTerm
+import dev.bronzeshore.peering.PeerClient
+import dev.bronzeshore.peering.PeerServer
+import dev.bronzeshore.peering.handlerOf
+import dev.bronzeshore.platform.cluster.CallersPortAddresses
+import dev.bronzeshore.platform.cluster.CallersPortContext
+import dev.bronzeshore.platform.cluster.PlatformLink
+import dev.bronzeshore.platform.cluster.startCallersPort
+import dev.bronzeshore.scheduler.AdviceCaller
+import dev.bronzeshore.scheduler.LeaderDependencies
+import dev.bronzeshore.scheduler.LeaderTermRunner
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Time in which the balancer learns that a process is not ready: two probes, one a second, and some slack. */
+private const val BALANCER_NOTICE_MS = 2_700L
+
+/** Time kept back from the grace of a stop signal for ending the process itself. */
+private const val EXIT_RESERVE_MS = 900L
+private const val STOP_POLL_MS = 50L
+
+/** A call for advice takes up to 1.5 s and may wait behind another one. */
+private const val ADVICE_TIMEOUT_MS = 3_200L
+
+/** The largest machine of a site offers itself first; a machine with two processors has no delay. */
+private const val CANDIDATE_DELAY_PER_PROCESSOR_MS = 80.0
+private const val LARGEST_PROCESSOR_SHARE = 2.0
+
+internal class ClusterProcess(
+    private val settings: ClusterSettings,
+    private val control: CoroutineDispatcher,
+    traffic: CoroutineDispatcher,
+    private val scope: CoroutineScope,
+) {
+    private val log = EventLog("process")
+    private val timeOfDay: ClockMs = System::currentTimeMillis
+    private val bootId = UUID.randomUUID().toString()
+    private val selector = SelectorManager(traffic)
+    private val platform = PlatformLink(selector, traffic, settings.storeAddress, settings.adviceAddress)
+    private val peerCaller = PeerCaller(PeerClient(selector, timeOfDay, scope), timeOfDay)
+    private val ownRow =
+        NodeRow(settings.processName, bootId, "${settings.peers.host}:${settings.peers.port}")
+    private val directory = NodeDirectory(platform.store, ownRow) { election.currentTerm != null }
+    private val config = ConfigFollower(platform.store, { directory.peers }, peerCaller)
+    private val metrics = ClusterMetrics({ config.current?.version ?: 0 }, { election.currentTerm?.term ?: 0 })
+    private val localDesk: JobDesk = createStoreDesk(platform.store, SteadyClock, scope)
+    private val desk = PeerDesk(localDesk, { directory.peers }, peerCaller).asDesk()
+    private val election = LeaderElection(
+        platform.store, settings.processName, bootId, SteadyClock, candidateDelayMs(),
+        LeaderEvents(gained = ::startTerm, lost = { endTerm() }),
+    )
+    private val inFlight = AtomicInteger()
+    private var term: Job? = null
+
+    @Volatile
+    private var isStopping = false
+
+    /** Starts all parts; returns once the ports listen. */
+    suspend fun start() = withContext(control) {
+        log.event("start", "process" to settings.processName, "data_centre" to settings.dataCentre, "boot" to bootId)
+        startCallersPort(
+            CallersPortAddresses(settings.callers, settings.readiness, settings.metrics),
+            CallersPortContext(
+                desk = countedDesk(),
+                config = { config.current },
+                isReady = { config.current != null && !isStopping },
+                isStopping = { isStopping },
+                clock = timeOfDay,
+                metrics = metrics::scrape,
+                countAnswer = metrics::countAnswer,
+            ),
+        )
+        PeerServer(selector, timeOfDay, handlers()).start(settings.peers.host, settings.peers.port, scope)
+        scope.launch { directory.run() }
+        scope.launch { config.run() }
+        scope.launch { election.run() }
+    }
+
+    /** Stops taking work, passes leadership on, and returns when the balancer and the callers have moved on. */
+    suspend fun stop() {
+        val startedAtMs = SteadyClock()
+        isStopping = true
+        log.event("stop", "process" to settings.processName, "leads" to (election.currentTerm != null))
+        scope.launch(control) { election.release() }
+        delay(BALANCER_NOTICE_MS)
+        while (inFlight.get() > 0 && SteadyClock() - startedAtMs < settings.bounds.stopSignalGraceMs - EXIT_RESERVE_MS) {
+            delay(STOP_POLL_MS)
+        }
+        log.event("stopped", "in_flight" to inFlight.get(), "duration_ms" to SteadyClock() - startedAtMs)
+    }
+
+    private fun candidateDelayMs(): Long =
+        ((LARGEST_PROCESSOR_SHARE - settings.processorShare).coerceAtLeast(0.0) * CANDIDATE_DELAY_PER_PROCESSOR_MS).toLong()
+
+    private suspend fun startTerm(won: LeaderTerm) {
+        endTerm()
+        val runner = LeaderTermRunner(dependencies(), won.term, won.termRowVersion)
+        term = scope.launch(control) { runner.run() }
+    }
+
+    private suspend fun endTerm() {
+        term?.cancelAndJoin()
+        term = null
+    }
+
+    private fun dependencies() = LeaderDependencies(
+        store = platform.store,
+        calls = platform.workers,
+        bounds = settings.bounds,
+        clock = SteadyClock,
+        timeOfDay = timeOfDay,
+        metrics = metrics.forScheduler(),
+        adviceCallers = ::adviceCallers,
+        workerTable = PlatformLink.WORKER_TABLE,
+        decodeWorker = PlatformLink::workerIn,
+        confirmTerm = { scope.launch(control) { election.confirm() } },
+    )
+
+    private fun adviceCallers(): List<AdviceCaller> {
+        val advice = platform.advice ?: return emptyList()
+        return listOf(AdviceCaller(settings.processName) { step, workers -> advice(step, workers) }) +
+            directory.peers.map { peer ->
+                AdviceCaller(peer.processName) { step, workers ->
+                    val request = AdviceRequest(step.jobId, step.occurrence, step.step, workers)
+                    peerCaller.call(peer, ADVICE_CALL, request, ADVICE_TIMEOUT_MS)?.toTickets()
+                }
+            }
+    }
+
+    private fun handlers() = listOf(
+        handlerOf(ADVICE_CALL) { AdviceReply.of(platform.advice?.invoke(it.stepName, it.workerIds)).right() },
+        handlerOf(SUBMIT_CALL) { onControl { localDesk.submit(it) }.right() },
+        handlerOf(STATE_CALL) { onControl { localDesk.stateOf(it.jobId) }.right() },
+        handlerOf(CANCEL_CALL) { CancelReply(onControl { localDesk.cancel(it.jobId) }).right() },
+        handlerOf(COUNT_CALL) { CountReply(onControl { localDesk.waitingIn(it.queue) }).right() },
+        handlerOf(CONFIG_CALL) { ConfigReply(config.contentAfter(it.knownVersion)).right() },
+    )
+
+    private suspend fun <T> onControl(work: suspend () -> T): T = withContext(control) { work() }
+
+    private fun countedDesk() = JobDesk(
+        submit = { counted { desk.submit(it) } },
+        stateOf = { counted { desk.stateOf(it) } },
+        cancel = { counted { desk.cancel(it) } },
+        waitingIn = { counted { desk.waitingIn(it) } },
+    )
+
+    private suspend fun <T> counted(work: suspend () -> T): T {
+        inFlight.incrementAndGet()
+        return try {
+            onControl(work)
+        } finally {
+            inFlight.decrementAndGet()
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterRunner.kt
@@ -0,0 +1,55 @@
+/** Runs a process on the platform until it is asked to stop. */
+package dev.bronzeshore.server.cluster
+
+import arrow.core.Either
+import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.cluster.ClusterSettings
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import kotlin.system.exitProcess
+
+private const val EXIT_BAD_SETTINGS = 1
+private const val EXIT_FAILED = 70
+
+/** Reads the settings at [file] and runs the process; returns only by the end of the process. */
+internal fun runClusterProcess(file: String) {
+    // Ktor's own shutdown hook would close the ports at once, while requests are still in flight.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+    val settings = loadSettings(file)
+    val log = EventLog("process")
+    val control = Executors.newSingleThreadExecutor { Thread(it, "control") }.asCoroutineDispatcher()
+    val failed = CoroutineExceptionHandler { _, failure ->
+        log.event("failed", "cause" to failure.stackTraceToString())
+        Runtime.getRuntime().halt(EXIT_FAILED)
+    }
+    val scope = CoroutineScope(SupervisorJob() + control + failed)
+    val process = ClusterProcess(settings, control, Dispatchers.IO, scope)
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            runBlocking { process.stop() }
+            Runtime.getRuntime().halt(0)
+        },
+    )
+    runBlocking {
+        process.start()
+        awaitCancellation()
+    }
+}
+
+private fun loadSettings(file: String): ClusterSettings =
+    when (val settings = readClusterSettings(Files.readString(Path.of(file)))) {
+        is Either.Right -> settings.value
+
+        is Either.Left -> {
+            settings.value.forEach { System.err.println("$file: $it") }
+            exitProcess(EXIT_BAD_SETTINGS)
+        }
+    }
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/NodeDirectory.kt
@@ -0,0 +1,63 @@
+/** The processes of the cluster, which find each other through the store. */
+package dev.bronzeshore.server.cluster
+
+import arrow.core.Either
+import dev.bronzeshore.core.PartLog
+import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.core.cluster.RowId
+import dev.bronzeshore.core.cluster.RowRangeQuery
+import dev.bronzeshore.core.cluster.RowWrite
+import dev.bronzeshore.core.cluster.StoreOutcome
+import dev.bronzeshore.core.cluster.StoreTransaction
+import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.decodeRow
+import dev.bronzeshore.core.cluster.encodeRow
+import kotlinx.coroutines.delay
+
+private const val RETRY_MS = 300L
+
+/** Processes come and go a few times a day; a leader needs new ones soon, because they share its calls for advice. */
+private const val REFRESH_LEADER_MS = 2_000L
+private const val REFRESH_OTHERS_MS = 10_000L
+
+internal class NodeDirectory(
+    private val store: ClusterStore,
+    private val own: NodeRow,
+    private val isLeader: () -> Boolean,
+) {
+    private val log = PartLog("nodes")
+
+    /** All other processes, as far as known. */
+    @Volatile
+    var peers: List<NodeRow> = emptyList()
+        private set
+
+    suspend fun run() {
+        while (!register()) delay(RETRY_MS)
+        while (true) {
+            refresh()
+            var waitedMs = 0L
+            while (waitedMs < (if (isLeader()) REFRESH_LEADER_MS else REFRESH_OTHERS_MS)) {
+                delay(RETRY_MS)
+                waitedMs += RETRY_MS
+            }
+        }
+    }
+
+    private suspend fun register(): Boolean {
+        val row = RowId(Tables.NODES, Tables.NODES_PART, own.processName)
+        val write = RowWrite(row, encodeRow(NodeRow.serializer(), own))
+        return store.transact(StoreTransaction(writes = listOf(write))) is StoreOutcome.Applied
+    }
+
+    private suspend fun refresh() {
+        val page = store.readPage(RowRangeQuery(Tables.NODES, Tables.NODES_PART)).getOrNull() ?: return
+        peers = page.rows.mapNotNull { row ->
+            val value = row.value ?: return@mapNotNull null
+            Either.catch { decodeRow(NodeRow.serializer(), value) }
+                .onLeft { log.warn { "The row of process ${row.id.key} is malformed: ${it.message}" } }
+                .getOrNull()
+        }.filter { it.processName != own.processName }
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerCaller.kt
@@ -0,0 +1,27 @@
+/** Calls to other processes with one bound on their time. */
+package dev.bronzeshore.server.cluster
+
+import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.peering.CallType
+import dev.bronzeshore.peering.PeerClient
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Clocks of two machines may differ by some seconds; the callee must not drop a call that is still wanted. */
+private const val CLOCK_ALLOWANCE_MS = 10_000L
+private const val DEFAULT_TIMEOUT_MS = 1_500L
+
+internal class PeerCaller(private val client: PeerClient, private val clock: ClockMs) {
+    private val log = EventLog("peering")
+
+    /** The reply, or null when none came in time. */
+    suspend fun <Q, A> call(peer: NodeRow, type: CallType<Q, A>, request: Q, timeoutMs: Long = DEFAULT_TIMEOUT_MS): A? {
+        val answer = withTimeoutOrNull(timeoutMs) {
+            client.call(peer.peerAddress, type, request, clock() + timeoutMs + CLOCK_ALLOWANCE_MS)
+        }
+        if (answer == null) client.abandon(peer.peerAddress)
+        answer?.onLeft { log.event("call_failed", "call" to type.name, "peer" to peer.processName, "cause" to it.message) }
+        return answer?.getOrNull()
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
@@ -0,0 +1,56 @@
+/** Calls between the processes of a cluster. */
+package dev.bronzeshore.server.cluster
+
+import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.AdviceTicket
+import dev.bronzeshore.core.cluster.StateAnswer
+import dev.bronzeshore.core.cluster.StepName
+import dev.bronzeshore.core.cluster.SubmitAnswer
+import dev.bronzeshore.peering.CallType
+import kotlinx.serialization.Serializable
+
+@Serializable
+internal data class AdviceRequest(
+    val jobId: String,
+    val occurrence: Int,
+    val step: Int,
+    val workerIds: List<String>,
+) {
+    val stepName: StepName get() = StepName(jobId, occurrence, step)
+}
+
+/** [tickets] holds worker and ticket by turns; it is null when the service gave no answer. */
+@Serializable
+internal data class AdviceReply(val tickets: List<String>?) {
+    fun toTickets(): List<AdviceTicket>? = tickets?.chunked(2)?.map { (worker, ticket) -> AdviceTicket(worker, ticket) }
+
+    companion object {
+        fun of(tickets: List<AdviceTicket>?) = AdviceReply(tickets?.flatMap { listOf(it.workerId, it.ticket) })
+    }
+}
+
+@Serializable
+internal data class JobRequest(val jobId: String)
+
+@Serializable
+internal data class CancelReply(val isStored: Boolean)
+
+@Serializable
+internal data class CountRequest(val queue: String)
+
+@Serializable
+internal data class CountReply(val count: Int?)
+
+@Serializable
+internal data class ConfigRequest(val knownVersion: Long)
+
+/** The configuration as the operators wrote it; null when the asked process knows no newer one. */
+@Serializable
+internal class ConfigReply(val content: ByteArray?)
+
+internal val ADVICE_CALL = CallType("advice", AdviceRequest.serializer(), AdviceReply.serializer())
+internal val SUBMIT_CALL = CallType("submit", AcceptedJob.serializer(), SubmitAnswer.serializer())
+internal val STATE_CALL = CallType("state", JobRequest.serializer(), StateAnswer.serializer())
+internal val CANCEL_CALL = CallType("cancel", JobRequest.serializer(), CancelReply.serializer())
+internal val COUNT_CALL = CallType("count", CountRequest.serializer(), CountReply.serializer())
+internal val CONFIG_CALL = CallType("config", ConfigRequest.serializer(), ConfigReply.serializer())
--- a/server/src/test/kotlin/dev/bronzeshore/server/SettingsReaderTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/SettingsReaderTest.kt
@@ -1,6 +1,7 @@
 /** Faulty settings and the faults that are reported for them. */
 package dev.bronzeshore.server
 
+import dev.bronzeshore.core.ListenAddress
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
