Learn speeds of workers and queues together, and refuse at once while the store serves nobody

Cause: stock checks ran on slow workers, because speeds were learned relative to estimates that are off by queue, and because a step with little time to spare counted as one that may run on a slower worker. While the store was down for all, each submission was passed on to two processes that tried again for 300 ms.

Change: one book learns the share of the queue and of the worker in each run time; a later leader takes it over from the store; only steps with 1.8 times the time they need leave fast workers to others; passed on submissions are refused at once by a process that the store does not serve.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -27,6 +27,10 @@
 @Serializable
 public data class WaitingCounts(public val byQueue: Map<String, Int>)
 
+/** Logarithm of each worker's run times relative to other workers, by worker id. */
+@Serializable
+public data class WorkerSpeedsRow(public val logSlowness: Map<String, Double>)
+
 /** Workers that may run tasks of this cluster. */
 @Serializable
 public data class WorkerRosterRow(public val workers: List<RosterWorker>)
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -21,6 +21,7 @@
     /** Workers that may run tasks, and numbers that callers ask for. */
     public const val LEADER_NOTES: String = "notes"
     public val ROSTER_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "roster")
+    public val SPEEDS_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "speeds")
     public val WAITING_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "waiting")
 
     /** Accepted jobs and cancellations; any process writes here. */
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreDesk.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreDesk.kt
@@ -24,14 +24,24 @@
 private const val COUNTS_MAX_AGE_MS = 700L
 
 /** Creates the desk; its writers run in [scope]. */
-public fun createStoreDesk(store: ClusterStore, clock: ClockMs, scope: CoroutineScope): JobDesk {
-    val desk = StoreDesk(store, clock, scope)
+public fun createStoreDesk(
+    store: ClusterStore,
+    clock: ClockMs,
+    isServed: () -> Boolean,
+    scope: CoroutineScope,
+): JobDesk {
+    val desk = StoreDesk(store, clock, isServed, scope)
     return JobDesk(desk::submit, desk::stateOf, desk::cancel, desk::waitingIn)
 }
 
-private class StoreDesk(private val store: ClusterStore, private val clock: ClockMs, scope: CoroutineScope) {
+private class StoreDesk(
+    private val store: ClusterStore,
+    private val clock: ClockMs,
+    isServed: () -> Boolean,
+    scope: CoroutineScope,
+) {
     private val log = EventLog("intake")
-    private val writers = Tables.INTAKE_PARTS.associateWith { SubmissionWriter(store, clock, scope) }
+    private val writers = Tables.INTAKE_PARTS.associateWith { SubmissionWriter(store, clock, isServed, scope) }
     private var counts: WaitingCounts? = null
     private var countsReadAtMs = 0L
 
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -41,6 +41,8 @@
 internal class SubmissionWriter(
     private val store: ClusterStore,
     private val clock: ClockMs,
+    /** False while the store refuses all calls of this process, so that trying again only delays the answer. */
+    private val isServed: () -> Boolean,
     scope: CoroutineScope,
 ) {
     private val log = EventLog("intake")
@@ -79,7 +81,7 @@
 
                 // A part refuses calls when it is far behind; it catches up within a second or two.
                 is StoreOutcome.NotApplied -> {
-                    if (clock() >= retryUntilMs) return open.answerAll(refusal(outcome.reason, isSettling))
+                    if (!isServed() || clock() >= retryUntilMs) return open.answerAll(refusal(outcome.reason, isSettling))
                     delay(REFUSED_PAUSE_MS)
                 }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -44,7 +44,8 @@
     private fun observeSpeed(placement: Placement) {
         val step = placement.task.step.description
         if (step.isGang || placement.isAdopted || placement.startedFromCheckpoint || step.estimateMs <= 0) return
-        placement.worker.speed.observe((context.clock() - placement.orderedAtMs).toDouble() / step.estimateMs)
+        val ratio = (context.clock() - placement.orderedAtMs).toDouble() / step.estimateMs
+        context.fleet.speeds.observe(placement.task.step.job.terms.queue, placement.worker, ratio)
     }
 
     /** Takes in an end whose run this leader did not order; it counts unless another run has replaced it. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -16,6 +16,9 @@
 /** Weight of the speed that a step does not need. */
 private const val SPARE_SPEED_WEIGHT = 1.0
 
+/** Only steps with this much time to spare leave fast workers to others; estimates do not tell less apart. */
+private const val MIN_SPARE_SPEED = 1.8
+
 /** Estimates of run times are off by this factor often enough to count on it. */
 private const val ESTIMATE_MARGIN = 1.6
 
@@ -135,8 +138,8 @@
 
         /** A worker that is fast enough costs the less the slower it is: faster ones are left to tighter objectives. */
         private fun speedCost(worker: TrackedWorker, slowestInTime: Double): Double {
-            val slowness = fleet.relativeSlownessOf(worker)
-            return if (slowness <= slowestInTime) SPARE_SPEED_WEIGHT / slowness else SLOWNESS_WEIGHT * slowness
+            val slowness = fleet.speeds.slownessOf(worker)
+            return if (slowestInTime >= MIN_SPARE_SPEED && slowness <= slowestInTime) SPARE_SPEED_WEIGHT / slowness else SLOWNESS_WEIGHT * slowness
         }
 
         private fun cost(task: TrackedTask, worker: TrackedWorker, local: RoomView, slowestInTime: Double): Double {
@@ -176,7 +179,7 @@
             if (couldFit < count || waitingGangs >= MAX_WAITING_GANGS) return
             waitingGangs++
             var missing = count
-            for (worker in allowed.sortedBy { fleet.relativeSlownessOf(it) }) {
+            for (worker in allowed.sortedBy { fleet.speeds.slownessOf(it) }) {
                 if (missing <= 0) break
                 missing -= step.room.countIn(worker.entry.capacity).coerceAtMost(missing)
                 room.take(worker, room.free(worker))
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -15,12 +15,13 @@
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.WaitingCounts
 import dev.bronzeshore.core.cluster.WorkerRosterRow
+import dev.bronzeshore.core.cluster.WorkerSpeedsRow
 import dev.bronzeshore.core.cluster.encodeRow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** A transaction takes 100 entries; three are kept for the roster, the counts and the sign of life. */
+/** A transaction takes 100 entries; four are kept for the roster, the counts, the speeds and the sign of life. */
 private const val MAX_JOBS_IN_BATCH = 90
 
 /** Shortest time between two writes; each one costs a priced call, and a job's end waits for at most this long. */
@@ -28,12 +29,14 @@
 
 /** Counts may be two seconds old when a caller sees them. */
 private const val COUNTS_EVERY_MS = 500L
+private const val SPEEDS_EVERY_MS = 2_000L
 private const val RETRY_MS = 100L
 
 internal class ProgressJournal(private val context: TermContext, private val deposed: suspend () -> Unit) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private var savedCounts: Map<String, Int>? = null
-    private var countsAtMs = Long.MIN_VALUE
+    private var countsAtMs = Long.MIN_VALUE / 2
+    private var speedsAtMs = context.clock()
     private var savedRoster: Set<RosterWorker> = emptySet()
 
     fun wake() {
@@ -64,7 +67,7 @@
             listOfNotNull(
                 counts?.let { RowWrite(Tables.WAITING_ROW, encodeRow(WaitingCounts.serializer(), WaitingCounts(it))) },
                 roster?.let { RowWrite(Tables.ROSTER_ROW, encodeRow(WorkerRosterRow.serializer(), WorkerRosterRow(it.toList()))) },
-            ) + listOfNotNull(beat)
+            ) + listOfNotNull(beat, dueSpeeds())
         val phases = batch.jobs.associateWith { it.phase }
         val startedAtMs = context.clock()
         val condition = RowCondition(Tables.TERM_ROW, context.termRowVersion)
@@ -95,6 +98,14 @@
         if (!context.changes.isEmpty) wake()
     }
 
+    /** Learned speeds go along with another write; a later leader would have to learn them anew. */
+    private fun dueSpeeds(): RowWrite? {
+        if (context.clock() - speedsAtMs < SPEEDS_EVERY_MS) return null
+        speedsAtMs = context.clock()
+        val row = WorkerSpeedsRow(context.fleet.speeds.toRow(context.fleet.workers))
+        return RowWrite(Tables.SPEEDS_ROW, encodeRow(WorkerSpeedsRow.serializer(), row))
+    }
+
     private fun markSaved() {
         val added = context.fleet.workers.filter { !it.isOnRoster && it.toRoster() in savedRoster }
         added.forEach { it.isOnRoster = true }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -10,6 +10,7 @@
 import dev.bronzeshore.core.cluster.JobProgress
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.WorkerRosterRow
+import dev.bronzeshore.core.cluster.WorkerSpeedsRow
 import dev.bronzeshore.core.cluster.decodeRow
 import dev.bronzeshore.core.cluster.isEnded
 import kotlinx.coroutines.async
@@ -51,6 +52,7 @@
         workers.rows.map { dependencies.decodeWorker(it) }.forEach { registry.addListed(it) }
         journal.adoptRoster(roster)
         roster.forEach { registry.addFormer(it) }
+        notes.rows.firstOrNull { it.id == Tables.SPEEDS_ROW }?.value?.let { restoreSpeeds(it) }
         context.log.event(
             "recovery_loaded", "term" to context.term, "jobs" to intake.rows.size, "open" to context.book.openJobs.size,
             "workers" to context.fleet.workers.size, "duration_ms" to context.clock() - startedAtMs,
@@ -66,6 +68,11 @@
         return true
     }
 
+    private fun restoreSpeeds(value: ByteArray) {
+        val stored = decodeRow(WorkerSpeedsRow.serializer(), value).logSlowness
+        context.fleet.workers.forEach { worker -> stored[worker.id]?.let { worker.speed.restore(it) } }
+    }
+
     private suspend fun untilRead(read: suspend () -> TableContent?): TableContent {
         while (true) {
             read()?.let { return it }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -75,7 +75,7 @@
         val step = placement.task.step.description
         if (step.isGang || placement.isAdopted || placement.startedFromCheckpoint || placement.percent < MIN_PERCENT_FOR_SPEED || step.estimateMs <= 0) return
         val impliedMs = (now - placement.orderedAtMs) * PERCENT / placement.percent
-        placement.worker.speed.observe(impliedMs / step.estimateMs)
+        context.fleet.speeds.observe(placement.task.step.job.terms.queue, placement.worker, impliedMs / step.estimateMs)
     }
 
     /** A run of a former leader goes on if its task still needs it. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -91,7 +91,6 @@
     /** Ends workers whose leases are certainly over and that do not answer. */
     fun expireLeases() {
         val now = context.clock()
-        context.fleet.refreshKinds()
         for (worker in context.fleet.workers.toList().filter { !it.isReachable || !it.isContacted }) {
             val isOver = if (worker.isContacted) {
                 worker.clock.isLeaseOver(now - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSpeed.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSpeed.kt
@@ -1,19 +1,27 @@
-/** How much longer than estimated tasks take on a worker, learned from their progress. */
+/** How much longer tasks take on a worker than on others, learned from their progress. */
 package dev.bronzeshore.scheduler
 
-/** Weight of a new observation; about five observations outweigh the past. */
-private const val WEIGHT = 0.2
-
-/** Observations outside of this range come from stalled or tiny tasks. */
-private val PLAUSIBLE = 0.1..20.0
+/** Smallest weight of a new observation; about seven observations then outweigh the past. */
+private const val MIN_WEIGHT = 0.15
 
 internal class WorkerSpeed {
-    /** Run time over estimate; null before the first observation. */
-    var slowness: Double? = null
+    private var observations = 0
+
+    /** Logarithm of the run time relative to other workers; 0 before the first observation. */
+    var logSlowness: Double = 0.0
         private set
+    val isKnown: Boolean get() = observations > 0
+
+    /** Moves the estimate towards an observation that missed it by [error]. */
+    fun correct(error: Double) {
+        observations++
+        logSlowness += maxOf(MIN_WEIGHT, 1.0 / (1 + observations)) * error
+    }
 
-    fun observe(ratio: Double) {
-        if (ratio !in PLAUSIBLE) return
-        slowness = slowness?.let { it + WEIGHT * (ratio - it) } ?: ratio
+    /** Takes over what a former leader has learned. */
+    fun restore(stored: Double) {
+        if (isKnown) return
+        logSlowness = stored
+        observations = 1
     }
 }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -68,8 +68,8 @@
     private val directory = NodeDirectory(store, ownRow) { election.currentTerm != null }
     private val config = ConfigFollower(store, { directory.peers }, peerCaller)
     private val metrics = ClusterMetrics({ config.current?.version ?: 0 }, { election.currentTerm?.term ?: 0 })
-    private val localDesk: JobDesk = createStoreDesk(store, SteadyClock, scope)
-    private val desk = PeerDesk(localDesk, health, { directory.peers }, peerCaller).asDesk()
+    private val localDesk: JobDesk = createStoreDesk(store, SteadyClock, { health.isServed }, scope)
+    private val desk = PeerDesk(localDesk, health, { directory.peers }, peerCaller)
     private val election = LeaderElection(
         store, ownRow, SteadyClock, candidateDelayMs(),
         LeaderEvents(
@@ -164,7 +164,7 @@
 
     private fun handlers() = listOf(
         handlerOf(ADVICE_CALL) { AdviceReply.of(platform.advice?.invoke(it.stepName, it.workerIds)).right() },
-        handlerOf(SUBMIT_CALL) { onControl { localDesk.submit(it) }.right() },
+        handlerOf(SUBMIT_CALL) { onControl { desk.submitHere(it) }.right() },
         handlerOf(STATE_CALL) { onControl { knownState(it.jobId) ?: localDesk.stateOf(it.jobId) }.right() },
         handlerOf(PHASE_CALL) { PhaseReply(onControl { runner?.phaseOf(it.jobId) }).right() },
         handlerOf(HANDOVER_CALL) { HandoverReply(onControl { election.takeOverFrom(it.term, "handed over") }).right() },
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerDesk.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerDesk.kt
@@ -39,9 +39,10 @@
 ) {
     private val log = EventLog("intake")
 
-    fun asDesk() = JobDesk(::submit, ::stateOf, ::cancel, ::waitingIn)
+    /** Stores a job that another process passes on, which is refused at once if the store serves neither of them. */
+    suspend fun submitHere(job: AcceptedJob): SubmitAnswer = if (health.isServed) local.submit(job) else notServed()
 
-    private suspend fun submit(job: AcceptedJob): SubmitAnswer =
+    suspend fun submit(job: AcceptedJob): SubmitAnswer =
         if (health.isServed) hedged(job) else passOn(job, notServed())
 
     private fun notServed() = SubmitAnswer.Rejected("the store does not serve this process", STORE_RETRY_MS, false)
@@ -90,7 +91,7 @@
         return answer
     }
 
-    private suspend fun stateOf(jobId: String): StateAnswer {
+    suspend fun stateOf(jobId: String): StateAnswer {
         val own = if (health.isServed) local.stateOf(jobId) else StateAnswer.Unavailable
         if (own !is StateAnswer.Unavailable) return own
         for (peer in somePeers()) {
@@ -100,10 +101,10 @@
         return own
     }
 
-    private suspend fun cancel(jobId: String): Boolean = health.isServed && local.cancel(jobId) ||
+    suspend fun cancel(jobId: String): Boolean = health.isServed && local.cancel(jobId) ||
         somePeers().any { calls.call(it, CANCEL_CALL, JobRequest(jobId))?.isStored == true }
 
-    private suspend fun waitingIn(queue: String): Int? = (if (health.isServed) local.waitingIn(queue) else null)
+    suspend fun waitingIn(queue: String): Int? = (if (health.isServed) local.waitingIn(queue) else null)
         ?: somePeers().firstNotNullOfOrNull { calls.call(it, COUNT_CALL, CountRequest(queue))?.count }
 
     private fun somePeers(): List<NodeRow> = peers().shuffled(Random).take(MAX_PEERS)
