Take over faster, remember ended jobs, and name the jobs that silent workers may hold

A released term was taken over only after its takeover without an answer had been waited out. A worker that was dark at a takeover kept all older jobs waiting for up to ten seconds.

Change: ended jobs are remembered; a leader that stops or is turned away leads on until another process has taken over; an unanswered takeover is led once the term row shows it; the roster names the jobs that a silent worker may hold; a lost answer to an order makes the leader look at the worker at once; time-outs follow the store's latency.

Ruled out: a shorter wait for silent workers (their leases are real).

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -35,13 +35,19 @@
 @Serializable
 public data class WorkerRosterRow(public val workers: List<RosterWorker>)
 
-/** A worker life on the roster. */
+/**
+ * A worker life on the roster.
+ *
+ * [heldJobs] is set while the worker does not answer: only tasks of these jobs may run there. When it is null, tasks of
+ * any job may.
+ */
 @Serializable
 public data class RosterWorker(
     public val workerId: String,
     public val startedAtMs: Long,
     public val address: String,
     public val service: String,
+    public val heldJobs: Set<String>? = null,
 )
 
 /** A process and where its peers reach it. */
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Worker.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Worker.kt
@@ -57,6 +57,9 @@
     OTHER_WORKER,
     INVALID,
 
+    /** The worker could not be reached; the order was not sent. */
+    NOT_SENT,
+
     /** No answer: the order may have been carried out, or may be later. */
     UNKNOWN,
 }
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
@@ -24,7 +24,7 @@
 import kotlin.random.Random
 
 /** Period of the leader's sign of life; a third of the time after which it counts as lost. */
-internal const val BEAT_EVERY_MS = 550L
+internal const val BEAT_EVERY_MS = 450L
 
 /** Longest wait of a change feed; a connection that has fallen silent is noticed this much later. */
 private const val FEED_WAIT_MS = 1_000L
@@ -55,6 +55,7 @@
     private var beatNumber = 0L
     private var beatSentAtMs = Long.MIN_VALUE / 2
     private var isStopping = false
+    private var lastEndedTerm = 0L
 
     /** The term held by this process, or null. */
     public val currentTerm: LeaderTerm? get() = held
@@ -85,9 +86,10 @@
      *
      * Returns true if this process leads afterwards.
      */
-    public suspend fun takeOverFrom(term: Long, reason: String): Boolean {
+    public suspend fun takeOverFrom(term: Long, reason: String, isOnlyCandidate: Boolean): Boolean {
         if (held != null || isStopping) return held != null
         log.event("takeover_wanted", "term" to term, "reason" to reason)
+        if (!isOnlyCandidate) delay(spreadMs())
         takeOver { view.term?.term == term }
         return held != null
     }
@@ -100,9 +102,13 @@
         }
     }
 
+    /** From now on this process does not take over. */
+    public fun withdraw() {
+        isStopping = true
+    }
+
     /** Gives up the term so that another process takes over at once. */
     public suspend fun release() {
-        isStopping = true
         val term = held ?: return
         val outcome = store.transact(beatTransaction(term, isReleased = true))
         log.event("released", "term" to term.term, "outcome" to outcome)
@@ -125,7 +131,12 @@
     }
 
     private suspend fun follow() {
-        if (view.mayTakeOver() && !isStopping) return takeOver { view.mayTakeOver() }
+        leadUnansweredTakeover()
+        if (held != null) return
+        if (view.mayTakeOver() && !isStopping) {
+            delay(spreadMs())
+            return takeOver { view.mayTakeOver() }
+        }
         store.changes(Tables.LEADER, feedVersion, FEED_WAIT_MS).fold(
             ifLeft = { failure ->
                 view.storeFailed()
@@ -140,8 +151,9 @@
         )
     }
 
+    private fun spreadMs() = candidateDelayMs + Random.nextLong(CANDIDATE_SPREAD_MS)
+
     private suspend fun takeOver(isWanted: () -> Boolean) {
-        delay(candidateDelayMs + Random.nextLong(CANDIDATE_SPREAD_MS))
         if (!readAll() || !isWanted() || held != null || isStopping) return
         val term = TermRow((view.term?.term ?: 0) + 1, own.processName, own.bootId, own.peerAddress)
         val outcome = store.transact(
@@ -159,18 +171,22 @@
         log.event("takeover", "term" to term.term, "outcome" to outcome::class.simpleName, "former" to view.term?.bootId)
         when (outcome) {
             is StoreOutcome.Applied -> lead(LeaderTerm(term.term, outcome.version))
-            is StoreOutcome.Unknown -> settleTakeover(term)
+            // If the transaction takes effect later, the term row shows it.
+            is StoreOutcome.Unknown -> if (readAll()) leadUnansweredTakeover()
             else -> delay(RETRY_MS)
         }
     }
 
-    /** Finds out whether a takeover without an answer took effect; a late write is found by a later turn. */
-    private suspend fun settleTakeover(term: TermRow) {
-        delay(RETRY_MS)
-        if (readAll() && view.term == term) lead(LeaderTerm(term.term, view.termVersion))
+    /** The term row may name this process although the takeover got no answer. */
+    private suspend fun leadUnansweredTakeover() {
+        val term = view.term ?: return
+        if (held == null && term.bootId == own.bootId && term.term > lastEndedTerm && !isStopping) {
+            lead(LeaderTerm(term.term, view.termVersion))
+        }
     }
 
     private suspend fun lead(term: LeaderTerm) {
+        if (held == term) return
         held = term
         beatNumber = 0
         renewedAtMs = clock()
@@ -215,6 +231,7 @@
     public suspend fun stepDown(term: LeaderTerm) {
         if (held != term) return
         held = null
+        lastEndedTerm = maxOf(lastEndedTerm, term.term)
         log.event("lost", "term" to term.term)
         events.lost(term)
         while (!readAll()) delay(RETRY_MS)
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderView.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderView.kt
@@ -7,12 +7,16 @@
 
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.PartLog
+import dev.bronzeshore.core.cluster.LatencyEstimate
 import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.decodeRow
 
 /** A leader renews three times within this time; shorter times mistake a pause of the runtime for a lost leader. */
-internal const val LEADER_TIMEOUT_MS = 1_700L
+internal const val LEADER_TIMEOUT_MS = 1_400L
+
+/** In a slow spell of the store the signs of life come later: as many of them must be missing. */
+private const val SILENT_BEATS = 2
 
 internal class LeaderView(
     private val processName: String,
@@ -27,6 +31,8 @@
     var beatVersion: Long = 0
         private set
     private var beat: BeatRow? = null
+    private val beatGap = LatencyEstimate()
+    private var beatSeenAtMs: Long? = null
 
     /** Start of the time for which the leader has shown no sign of life while the store answered; null if unknown. */
     private var silentSinceMs: Long? = null
@@ -45,6 +51,8 @@
                 Tables.BEAT_ROW -> if (row.version > beatVersion) {
                     beat = decode(row) { decodeRow(BeatRow.serializer(), value) } ?: continue
                     beatVersion = row.version
+                    beatSeenAtMs?.let { beatGap.observe(clock() - it) }
+                    beatSeenAtMs = clock()
                     silentSinceMs = null
                 }
             }
@@ -67,7 +75,7 @@
         if (leader.processName == processName && leader.bootId != bootId) return true
         if (beat?.let { it.isReleased && it.term == leader.term } == true) return true
         val since = silentSinceMs ?: return false
-        return clock() - since >= LEADER_TIMEOUT_MS
+        return clock() - since >= maxOf(LEADER_TIMEOUT_MS, SILENT_BEATS * beatGap.typicalMs)
     }
 
     private fun <T> decode(row: StoredRow, parse: () -> T): T? = try {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobBook.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobBook.kt
@@ -10,6 +10,7 @@
     private val jobs = LinkedHashMap<String, TrackedJob>()
     private val open = LinkedHashMap<String, TrackedJob>()
     private val cancelled = HashSet<String>()
+    private val ended = HashSet<String>()
     private val storedProgress = HashMap<String, JobProgress>()
 
     val openJobs: Collection<TrackedJob> get() = open.values
@@ -19,6 +20,11 @@
 
     fun task(name: TaskName): TrackedTask? = jobs[name.jobId]?.task(name)
 
+    /** Notes a job whose end is stored; a late message about it must not start it again. */
+    fun noteEnded(jobId: String) {
+        ended += jobId
+    }
+
     /** Notes what a former leader stored; it is applied when the job itself is added. */
     fun noteProgress(jobId: String, progress: JobProgress) {
         storedProgress[jobId] = progress
@@ -26,7 +32,7 @@
 
     /** Adds an accepted job; null if it is known already. */
     fun add(accepted: AcceptedJob, version: Long, nowMs: Long): TrackedJob? {
-        if (accepted.jobId in jobs) return null
+        if (accepted.jobId in jobs || accepted.jobId in ended) return null
         val job = TrackedJob(accepted, version, nowMs)
         storedProgress.remove(job.id)?.let { job.restore(it) }
         jobs[job.id] = job
@@ -40,6 +46,8 @@
         return jobs[jobId]?.takeIf { it.isOpen }
     }
 
+    fun isEnded(jobId: String): Boolean = jobId in ended
+
     fun isCancelled(jobId: String): Boolean = jobId in cancelled
 
     fun close(job: TrackedJob, phase: JobPhase, endedAtMs: Long) {
@@ -50,6 +58,7 @@
 
     fun forget(job: TrackedJob) {
         jobs.remove(job.id)
+        ended += job.id
         cancelled.remove(job.id)
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -61,6 +61,7 @@
     private val termRowVersion: Long,
 ) {
     private var running: TermContext? = null
+    private var intake: JobLifecycle? = null
 
     /** Leads until cancelled. */
     public suspend fun run(): Unit = coroutineScope {
@@ -78,6 +79,7 @@
         context.wakePlanner = { wakePlanner.trySend(Unit) }
         context.wakeJournal = journal::wake
         val versions = recovery.load()
+        intake = lifecycle
         launch { followIntake(lifecycle, versions.intake) }
         launch { followWorkers(registry, versions.workers) }
         launch { journal.run() }
@@ -91,6 +93,13 @@
         }
     }
 
+    /**
+     * Takes in a job that a process has stored and tells of before the change feed does.
+     *
+     * Its version is not known, so it waits for the end of the recovery like the jobs of former leaders.
+     */
+    public fun takeAnnounced(job: AcceptedJob): Unit? = intake?.accept(job, version = 0)
+
     /** The state that callers may see of a job, or null when this leader does not know it. */
     public fun phaseOf(jobId: String): JobPhase? {
         val job = running?.book?.find(jobId) ?: return null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -107,9 +107,13 @@
     }
 
     private fun markSaved() {
-        val added = context.fleet.workers.filter { !it.isOnRoster && it.toRoster() in savedRoster }
-        added.forEach { it.isOnRoster = true }
-        if (added.isNotEmpty()) context.wakePlanner()
+        var isAdded = false
+        for (worker in context.fleet.workers) {
+            val isSaved = worker.toRoster() in savedRoster
+            isAdded = isAdded || isSaved && !worker.isOnRoster
+            worker.isOnRoster = isSaved
+        }
+        if (isAdded) context.wakePlanner()
     }
 
     private fun dueCounts(): Map<String, Int>? {
@@ -125,4 +129,4 @@
     }
 }
 
-internal fun TrackedWorker.toRoster() = RosterWorker(id, life.startedAtMs, entry.address, entry.service)
+internal fun TrackedWorker.toRoster() = RosterWorker(id, life.startedAtMs, entry.address, entry.service, heldJobs)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -42,13 +42,12 @@
         }
         val roster = notes.rows.firstOrNull { it.id == Tables.ROSTER_ROW }?.value
             ?.let { decodeRow(WorkerRosterRow.serializer(), it).workers }.orEmpty()
-        val ended = HashSet<String>()
         for (row in progress.rows) {
             val stored = row.value?.let { decodeRow(JobProgress.serializer(), it) } ?: continue
-            if (stored.phase.isEnded) ended += row.id.key else context.book.noteProgress(row.id.key, stored)
+            if (stored.phase.isEnded) context.book.noteEnded(row.id.key) else context.book.noteProgress(row.id.key, stored)
         }
         // Jobs that have ended need no decoding; after some minutes they are most of the table.
-        intake.rows.filter { it.id.key !in ended }.forEach { takeIntake(it, lifecycle) }
+        intake.rows.filterNot { context.book.isEnded(it.id.key) }.forEach { takeIntake(it, lifecycle) }
         workers.rows.map { dependencies.decodeWorker(it) }.forEach { registry.addListed(it) }
         journal.adoptRoster(roster)
         roster.forEach { registry.addFormer(it) }
@@ -62,7 +61,7 @@
 
     fun mayStart(job: TrackedJob): Boolean {
         if (isComplete || job.storedVersion > context.termRowVersion) return true
-        if (registry.hasUnknownRuns) return false
+        if (registry.hasUnknownRuns) return !registry.mayHaveUnknownRuns(job.id)
         isComplete = true
         context.log.event("recovery_complete", "term" to context.term)
         return true
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -24,7 +24,8 @@
     fun handle(worker: TrackedWorker, report: HoldAnswer.Report, requestedAtMs: Long) {
         val now = context.clock()
         worker.clock.observe(report.workerClockMs, now)
-        worker.isReachable = true
+        if (!worker.isReachable) context.wakeJournal()
+        worker.markReachable()
         for (end in report.ends) if (end.number > worker.lastEndNumber) takeEnd(worker, end)
         for (running in report.running) takeRunning(worker, running, now)
         if (report.ends.size < MAX_ENDS_IN_REPORT) dropMissing(worker, report, requestedAtMs)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -48,6 +48,7 @@
             val answer = context.calls.start(placement.worker.entry, orderFor(placement, ticket))
             if (answer.result != StartResult.UNKNOWN) return settle(placement, answer.result, isUncertain)
             isUncertain = true
+            suspect(placement.worker)
         }
         context.log.event("start_uncertain", "task" to placement.run.task, "run" to placement.run.run, "worker" to placement.worker.id)
         context.metrics.start(StartResult.UNKNOWN.name)
@@ -92,10 +93,16 @@
         StartResult.FENCED -> context.onDoubt()
         StartResult.BAD_TICKET -> placement.task.step.advice.expire(placement.worker.id)
         StartResult.UNHEALTHY, StartResult.NO_ROOM -> pause(placement.worker)
-        StartResult.OTHER_WORKER -> placement.worker.isReachable = false
+        StartResult.NOT_SENT, StartResult.OTHER_WORKER -> suspect(placement.worker)
         else -> Unit
     }
 
+    private fun suspect(worker: TrackedWorker) {
+        if (worker.isSuspect) return
+        worker.isSuspect = true
+        context.scope.launch { worker.probe() }
+    }
+
     private fun pause(worker: TrackedWorker) {
         worker.quarantinedUntilMs = maxOf(worker.quarantinedUntilMs, context.clock() + WORKER_PAUSE_MS)
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -25,6 +25,17 @@
     var isContacted: Boolean = false
     var isListed: Boolean = true
     var isReachable: Boolean = true
+        private set
+
+    /** Jobs whose tasks may run here while the worker does not answer; null while it does. */
+    var heldJobs: Set<String>? = null
+        private set
+
+    /** An order got no answer; nothing more starts here until the worker has been looked at. */
+    var isSuspect: Boolean = false
+
+    /** Looks at the worker at once. */
+    var probe: suspend () -> Unit = {}
 
     /** The life has ended for certain: what ran there does not run any more. */
     var isGone: Boolean = false
@@ -40,6 +51,21 @@
     val unsavedEnds = ArrayDeque<UnsavedEnd>()
     var acknowledgedEnd: Long = 0
 
+    /** The worker has answered: tasks start again once the roster says that any job may be here. */
+    fun markReachable() {
+        if (isReachable) return
+        isReachable = true
+        heldJobs = null
+        isOnRoster = false
+    }
+
+    /** The worker does not answer: nothing more starts here. */
+    fun markUnreachable() {
+        if (!isReachable) return
+        isReachable = false
+        if (isContacted) heldJobs = placed.keys.mapTo(HashSet()) { it.task.jobId } + strays.keys.map { it.task.jobId }
+    }
+
     val placements: Collection<Placement> get() = placed.values
     val strayRuns: Set<TaskRun> get() = strays.keys
     val free: Resources get() = entry.capacity - used
@@ -64,7 +90,7 @@
         strays.remove(run)?.let { used -= it }
     }
 
-    fun accepts(nowMs: Long): Boolean = isContacted && isListed && isReachable && isOnRoster && !isGone &&
+    fun accepts(nowMs: Long): Boolean = isContacted && isListed && isReachable && isOnRoster && !isGone && !isSuspect &&
         !entry.isDraining && quarantinedUntilMs <= nowMs
 
     /** Time from which ends up to a number may be acknowledged: everything before [savedChange] is stored. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -25,31 +25,45 @@
     private val formerLeasesUntilMs =
         startedAtMs + (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs + LEASE_MARGIN_MS
 
+    /** Former workers and the jobs that may run there; null stands for any job. */
+    private val formerWorkers = HashMap<TrackedWorker, Set<String>?>()
+
+    private val unseenWorkers: List<TrackedWorker>
+        get() = if (context.clock() >= formerLeasesUntilMs) {
+            emptyList()
+        } else {
+            formerWorkers.keys.filter { !it.isContacted && !it.isGone }
+        }
+
     /** Workers on which runs of a former leader may exist that this leader has not seen. */
-    val hasUnknownRuns: Boolean
-        get() = context.clock() < formerLeasesUntilMs && context.fleet.workers.any { !it.isContacted && !it.isGone && it.isFormer }
+    val hasUnknownRuns: Boolean get() = unseenWorkers.isNotEmpty()
 
-    private val TrackedWorker.isFormer: Boolean get() = this in formerWorkers
-    private val formerWorkers = HashSet<TrackedWorker>()
+    /** True if such a run may be one of the job's. */
+    fun mayHaveUnknownRuns(jobId: String): Boolean =
+        unseenWorkers.any { worker -> formerWorkers[worker]?.contains(jobId) ?: true }
 
     /** Adds a worker on which a former leader may have started tasks. */
     fun addFormer(worker: RosterWorker) {
         val life = WorkerLife(worker.workerId, worker.startedAtMs)
-        if (context.fleet.find(life) != null || context.fleet.livesOf(life.workerId).any { it.life.startedAtMs > life.startedAtMs }) return
+        context.fleet.find(life)?.let { known ->
+            formerWorkers[known] = worker.heldJobs
+            return
+        }
+        if (context.fleet.livesOf(life.workerId).any { it.life.startedAtMs > life.startedAtMs }) return
         val entry = WorkerEntry(
             life, worker.service, worker.address, dataCentre = "", isDraining = false, capacity = Resources.NONE,
             labels = emptySet(), remainingMs = null,
         )
         add(entry).apply {
             isListed = false
-            formerWorkers += this
+            formerWorkers[this] = worker.heldJobs
         }
     }
 
     /** Adds the workers that were listed when the term began; a former leader may have used each of them. */
     fun addListed(change: WorkerChange) {
         apply(change)
-        change.entry?.let { context.fleet.find(it.life) }?.let { formerWorkers += it }
+        change.entry?.let { context.fleet.find(it.life) }?.let { formerWorkers[it] = null }
     }
 
     fun apply(change: WorkerChange) {
@@ -69,7 +83,9 @@
     private fun add(entry: WorkerEntry): TrackedWorker {
         val worker = context.fleet.add(entry)
         context.log.event("worker_added", "worker" to worker.id, "started_at_ms" to worker.life.startedAtMs, "address" to entry.address)
-        context.scope.launch { WorkerSession(context, worker, reports, ::reborn).run() }
+        val session = WorkerSession(context, worker, reports, ::reborn)
+        worker.probe = session::probe
+        context.scope.launch { session.run() }
         context.wakeJournal()
         return worker
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -31,6 +31,18 @@
 ) {
     private var failures = 0
 
+    /** Looks at once, beside the look that may be waiting for an end; an order to the worker got no answer. */
+    suspend fun probe() {
+        val requestedAtMs = context.clock()
+        context.metrics.look()
+        when (val answer = context.calls.hold(worker.entry, orderAt(requestedAtMs).copy(waitMs = 0))) {
+            is HoldAnswer.Report -> if (answer.startedAtMs == worker.life.startedAtMs) reports.handle(worker, answer, requestedAtMs)
+            else -> worker.markUnreachable()
+        }
+        worker.isSuspect = false
+        context.wakePlanner()
+    }
+
     /** Runs until the worker's life has ended. */
     suspend fun run() {
         while (!worker.isGone) {
@@ -74,7 +86,8 @@
     private suspend fun unreachable(reason: String) {
         failures++
         if (failures == UNREACHABLE_AFTER) {
-            worker.isReachable = false
+            worker.markUnreachable()
+            context.wakeJournal()
             context.log.event("worker_unreachable", "worker" to worker.id, "reason" to reason)
         }
         delay(RETRY_MS)
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -5,10 +5,12 @@
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.SteadyClock
+import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.ClusterSettings
 import dev.bronzeshore.core.cluster.JobDesk
 import dev.bronzeshore.core.cluster.NodeRow
 import dev.bronzeshore.core.cluster.StateAnswer
+import dev.bronzeshore.core.cluster.SubmitAnswer
 import dev.bronzeshore.intake.createStoreDesk
 import dev.bronzeshore.leadership.LeaderElection
 import dev.bronzeshore.leadership.LeaderEvents
@@ -45,6 +47,9 @@
 /** A call for advice takes up to 1.5 s and may wait behind another one. */
 private const val ADVICE_TIMEOUT_MS = 3_200L
 
+/** Above this time of a write the store is slow, and so are its change feeds. */
+private const val ANNOUNCE_ABOVE_MS = 60L
+
 /** The largest machine of a site offers itself first; a machine with two processors has no delay. */
 private const val CANDIDATE_DELAY_PER_PROCESSOR_MS = 80.0
 private const val LARGEST_PROCESSOR_SHARE = 2.0
@@ -113,7 +118,7 @@
         val startedAtMs = SteadyClock()
         isStopping = true
         log.event("stop", "process" to settings.processName, "leads" to (election.currentTerm != null))
-        scope.launch(control) { election.release() }
+        scope.launch(control) { passOnLeadership() }
         delay(BALANCER_NOTICE_MS)
         while (inFlight.get() > 0 && SteadyClock() - startedAtMs < settings.bounds.stopSignalGraceMs - EXIT_RESERVE_MS) {
             delay(STOP_POLL_MS)
@@ -121,6 +126,13 @@
         log.event("stopped", "in_flight" to inFlight.get(), "duration_ms" to SteadyClock() - startedAtMs)
     }
 
+    /** Leads on until another process has taken over; only without one is the term released unasked. */
+    private suspend fun passOnLeadership() {
+        election.withdraw()
+        election.currentTerm?.let { leaderLink.handOver(it.term) }
+        election.release()
+    }
+
     private fun candidateDelayMs(): Long =
         ((LARGEST_PROCESSOR_SHARE - settings.processorShare).coerceAtLeast(0.0) * CANDIDATE_DELAY_PER_PROCESSOR_MS).toLong()
 
@@ -167,7 +179,8 @@
         handlerOf(SUBMIT_CALL) { onControl { desk.submitHere(it) }.right() },
         handlerOf(STATE_CALL) { onControl { knownState(it.jobId) ?: localDesk.stateOf(it.jobId) }.right() },
         handlerOf(PHASE_CALL) { PhaseReply(onControl { runner?.phaseOf(it.jobId) }).right() },
-        handlerOf(HANDOVER_CALL) { HandoverReply(onControl { election.takeOverFrom(it.term, "handed over") }).right() },
+        handlerOf(HANDOVER_CALL) { HandoverReply(onControl { election.takeOverFrom(it.term, "handed over", isOnlyCandidate = true) }).right() },
+        handlerOf(ANNOUNCE_CALL) { Announcement(onControl { runner?.takeAnnounced(it) } != null).right() },
         handlerOf(WATCH_CALL) { request ->
             delay(request.holdMs.coerceIn(0, WATCH_HOLD_MS))
             WatchReply(election.currentTerm != null).right()
@@ -177,6 +190,14 @@
         handlerOf(CONFIG_CALL) { ConfigReply(config.contentAfter(it.knownVersion)).right() },
     )
 
+    private suspend fun submit(job: AcceptedJob): SubmitAnswer {
+        val answer = desk.submit(job)
+        if (answer is SubmitAnswer.Accepted && health.typicalWriteMs > ANNOUNCE_ABOVE_MS) {
+            scope.launch(control) { runner?.takeAnnounced(job) ?: leaderLink.announce(job) }
+        }
+        return answer
+    }
+
     private fun knownState(jobId: String): StateAnswer? = runner?.phaseOf(jobId)?.let { StateAnswer.Found(it) }
 
     /** The leader answers from memory, which is faster and cheaper than the store. */
@@ -187,7 +208,7 @@
     private suspend fun <T> onControl(work: suspend () -> T): T = withContext(control) { work() }
 
     private fun countedDesk() = JobDesk(
-        submit = { counted { desk.submit(it) } },
+        submit = { counted { submit(it) } },
         stateOf = { counted { stateOf(it) } },
         cancel = { counted { desk.cancel(it) } },
         waitingIn = { counted { desk.waitingIn(it) } },
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
@@ -8,6 +8,7 @@
 
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.SteadyClock
+import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.NodeRow
 import dev.bronzeshore.leadership.KnownLeader
@@ -30,7 +31,9 @@
 /** A leader answers from memory; a slower one is stopped or cut off, and the store is asked instead. */
 private const val STATE_TIMEOUT_MS = 200L
 private const val LEADER_PAUSE_MS = 1_000L
-private const val HANDOVER_TIMEOUT_MS = 1_200L
+
+/** A takeover reads and writes the store once, which takes more than a second in a slow spell. */
+private const val HANDOVER_TIMEOUT_MS = 2_500L
 
 internal class LeaderLink(
     private val own: NodeRow,
@@ -58,7 +61,7 @@
         val secondAtMs = SteadyClock()
         if (calls.call(leader.node(), WATCH_CALL, WatchRequest(0), SECOND_TRY_TIMEOUT_MS) != null) return
         if (SteadyClock() - secondAtMs < SECOND_TRY_TIMEOUT_MS && election.knownLeader?.term == leader.term) {
-            election.takeOverFrom(leader.term, "the leader's port is closed")
+            election.takeOverFrom(leader.term, "the leader's port is closed", isOnlyCandidate = false)
         }
         delay(RETRY_MS)
     }
@@ -72,9 +75,15 @@
         return reply?.phase
     }
 
+    /** Tells the leader of a job that was stored, in a slow spell in which the change feed would be late. */
+    suspend fun announce(job: AcceptedJob) {
+        val leader = election.knownLeader ?: return
+        if (leader.processName != own.processName) calls.call(leader.node(), ANNOUNCE_CALL, job, STATE_TIMEOUT_MS)
+    }
+
     /** Asks other processes to lead, because the store does not serve this one. */
     suspend fun handOver(term: Long) {
-        if (isHandingOver) return
+        if (isHandingOver) return awaitHandover()
         isHandingOver = true
         try {
             for (peer in peers().shuffled(Random)) {
@@ -88,5 +97,9 @@
         }
     }
 
+    private suspend fun awaitHandover() {
+        while (isHandingOver) delay(RETRY_MS)
+    }
+
     private fun KnownLeader.node() = NodeRow(processName, "", peerAddress)
 }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerDesk.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerDesk.kt
@@ -25,8 +25,11 @@
 /** The store answers in 10 ms; after this time the own connection to it may have fallen silent. */
 private const val HEDGE_AFTER_MS = 450L
 
+/** In a slow spell a second write would only add to the load. */
+private const val HEDGE_FACTOR = 3
+
 /** Longest time that one process is given to store a job for another one. */
-private const val PEER_SUBMIT_TIMEOUT_MS = 1_100L
+private const val PEER_SUBMIT_TIMEOUT_MS = 1_300L
 
 /** Time after which a caller that was refused may come back: most spells in which the store is lost last seconds. */
 private const val STORE_RETRY_MS = 1_000L
@@ -50,7 +53,7 @@
     /** Waits for the own write for a moment, then lets another process write the same row as well. */
     private suspend fun hedged(job: AcceptedJob): SubmitAnswer = coroutineScope {
         val own = async { local.submit(job) }
-        val early = withTimeoutOrNull(HEDGE_AFTER_MS) { own.await() }
+        val early = withTimeoutOrNull(maxOf(HEDGE_AFTER_MS, HEDGE_FACTOR * health.typicalWriteMs)) { own.await() }
         when {
             early is SubmitAnswer.Accepted -> early
             early != null && health.isServed -> early
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
@@ -65,6 +65,10 @@
 @Serializable
 internal data class HandoverReply(val isTaken: Boolean)
 
+@Serializable
+internal data class Announcement(val isTaken: Boolean)
+
+internal val ANNOUNCE_CALL = CallType("announce", AcceptedJob.serializer(), Announcement.serializer())
 internal val WATCH_CALL = CallType("watch", WatchRequest.serializer(), WatchReply.serializer())
 internal val PHASE_CALL = CallType("phase", JobRequest.serializer(), PhaseReply.serializer())
 internal val HANDOVER_CALL = CallType("handover", HandoverRequest.serializer(), HandoverReply.serializer())
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
@@ -5,18 +5,24 @@
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.LatencyEstimate
 import dev.bronzeshore.core.cluster.ReadFailure
 import dev.bronzeshore.core.cluster.StoreOutcome
 
 /** Failures in a row after which the store counts as lost; a single call may meet a full part or a reset connection. */
 private const val FAILURES = 2
 
-/** A failure counts only if no call has succeeded for this time. */
-private const val RECENT_MS = 120L
+/** A failure counts only if no call has succeeded for this time, or for some times the typical time of a call. */
+private const val RECENT_MS = 250L
+private const val RECENT_CALLS = 3
 
 internal class StoreHealth(private val clock: ClockMs) {
     private val log = EventLog("store")
+    private val writes = LatencyEstimate()
     private var failures = 0
+
+    /** Typical time of a recent write. */
+    val typicalWriteMs: Long get() = writes.typicalMs
     private var succeededAtMs = clock()
 
     /** False while the store does not serve this process, as far as its last calls show. */
@@ -25,7 +31,13 @@
 
     /** Watches the calls of [store]. */
     fun watching(store: ClusterStore) = ClusterStore(
-        transact = { transaction -> store.transact(transaction).also { note(it) } },
+        transact = { transaction ->
+            val startedAtMs = clock()
+            store.transact(transaction).also {
+                writes.observe(clock() - startedAtMs)
+                note(it)
+            }
+        },
         readPage = { query -> store.readPage(query).also { note(it) } },
         changes = { table, version, waitMs -> store.changes(table, version, waitMs).also { note(it) } },
     )
@@ -50,7 +62,7 @@
 
     private fun failed(reason: String) {
         failures++
-        if (!isServed || failures < FAILURES || clock() - succeededAtMs < RECENT_MS) return
+        if (!isServed || failures < FAILURES || clock() - succeededAtMs < maxOf(RECENT_MS, RECENT_CALLS * writes.typicalMs)) return
         isServed = false
         log.event("lost", "cause" to reason, "since_success_ms" to clock() - succeededAtMs)
     }
