--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/ClusterConfig.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/ClusterConfig.kt
@@ -2,11 +2,7 @@
 package dev.bronzeshore.core.cluster
 
 /** A queue that takes jobs for a service. */
-public data class Queue(
-    public val host: String,
-    public val pathPrefix: String,
-    public val terms: QueueTerms,
-)
+public data class Queue(public val host: String, public val pathPrefix: String, public val terms: QueueTerms)
 
 /** One version of the configuration. */
 public data class ClusterConfig(
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreDesk.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreDesk.kt
@@ -84,7 +84,12 @@
     }
 
     private suspend fun readCounts() {
-        val query = RowRangeQuery(Tables.LEADER_NOTES, Tables.LEADER_PART, Tables.WAITING_ROW.key, Tables.WAITING_ROW.key + "~")
+        val query = RowRangeQuery(
+            Tables.LEADER_NOTES,
+            Tables.LEADER_PART,
+            Tables.WAITING_ROW.key,
+            Tables.WAITING_ROW.key + "~",
+        )
         val page = store.readPage(query).getOrNull() ?: return
         countsReadAtMs = clock()
         counts = page.rows.firstOrNull()?.value?.let { decodeRow(WaitingCounts.serializer(), it) }
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -81,7 +81,11 @@
 
                 // A part refuses calls when it is far behind; it catches up within a second or two.
                 is StoreOutcome.NotApplied -> {
-                    if (!isServed() || clock() >= retryUntilMs) return open.answerAll(refusal(outcome.reason, isSettling))
+                    if (!isServed() ||
+                        clock() >= retryUntilMs
+                    ) {
+                        return open.answerAll(refusal(outcome.reason, isSettling))
+                    }
                     delay(REFUSED_PAUSE_MS)
                 }
 
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
@@ -1,8 +1,8 @@
 /**
  * Follows who leads the cluster, takes over when the leader is lost, and renews the own term.
  *
- * A takeover writes the term row under the condition that neither term nor sign of life has changed, so that at most one
- * process wins. All later writes of a leader require the version of its term row: a former leader can change nothing.
+ * A takeover writes the term row under the condition that neither term nor sign of life has changed, so that at most
+ * one process wins. All later writes of a leader require the version of its term row: a former leader changes nothing.
  * A leader that the store does not answer keeps its term, because no other process can take over through that store
  * without raising the fence at the workers first.
  */
@@ -151,10 +151,13 @@
         )
     }
 
+    private val isCandidate: Boolean get() = held == null && !isStopping
+
     private fun spreadMs() = candidateDelayMs + Random.nextLong(CANDIDATE_SPREAD_MS)
 
     private suspend fun takeOver(isWanted: () -> Boolean) {
-        if (!readAll() || !isWanted() || held != null || isStopping) return
+        if (!isCandidate || !readAll()) return
+        if (!isCandidate || !isWanted()) return
         val term = TermRow((view.term?.term ?: 0) + 1, own.processName, own.bootId, own.peerAddress)
         val outcome = store.transact(
             StoreTransaction(
@@ -168,7 +171,12 @@
                 ),
             ),
         )
-        log.event("takeover", "term" to term.term, "outcome" to outcome::class.simpleName, "former" to view.term?.bootId)
+        log.event(
+            "takeover",
+            "term" to term.term,
+            "outcome" to outcome::class.simpleName,
+            "former" to view.term?.bootId,
+        )
         when (outcome) {
             is StoreOutcome.Applied -> lead(LeaderTerm(term.term, outcome.version))
             // If the transaction takes effect later, the term row shows it.
@@ -180,7 +188,7 @@
     /** The term row may name this process although the takeover got no answer. */
     private suspend fun leadUnansweredTakeover() {
         val term = view.term ?: return
-        if (held == null && term.bootId == own.bootId && term.term > lastEndedTerm && !isStopping) {
+        if (isCandidate && term.bootId == own.bootId && term.term > lastEndedTerm) {
             lead(LeaderTerm(term.term, view.termVersion))
         }
     }
@@ -215,12 +223,10 @@
         }
     }
 
-    private fun beatTransaction(term: LeaderTerm, isReleased: Boolean): StoreTransaction {
-        return StoreTransaction(
-            conditions = listOf(RowCondition(Tables.TERM_ROW, term.termRowVersion)),
-            writes = listOf(beatWrite(term, isReleased)),
-        )
-    }
+    private fun beatTransaction(term: LeaderTerm, isReleased: Boolean): StoreTransaction = StoreTransaction(
+        conditions = listOf(RowCondition(Tables.TERM_ROW, term.termRowVersion)),
+        writes = listOf(beatWrite(term, isReleased)),
+    )
 
     private fun beatWrite(term: LeaderTerm, isReleased: Boolean): RowWrite {
         val row = BeatRow(term.term, ++beatNumber, isReleased)
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderView.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderView.kt
@@ -18,11 +18,7 @@
 /** In a slow spell of the store the signs of life come later: as many of them must be missing. */
 private const val SILENT_BEATS = 2
 
-internal class LeaderView(
-    private val processName: String,
-    private val bootId: String,
-    private val clock: ClockMs,
-) {
+internal class LeaderView(private val processName: String, private val bootId: String, private val clock: ClockMs) {
     private val log = PartLog("leadership")
     var term: TermRow? = null
         private set
@@ -40,25 +36,31 @@
     /** Takes in rows that were read or changed. */
     fun observe(rows: List<StoredRow>) {
         for (row in rows) {
-            val value = row.value ?: continue
             when (row.id) {
-                Tables.TERM_ROW -> if (row.version > termVersion) {
-                    term = decode(row) { decodeRow(TermRow.serializer(), value) } ?: continue
-                    termVersion = row.version
-                    silentSinceMs = null
-                }
-
-                Tables.BEAT_ROW -> if (row.version > beatVersion) {
-                    beat = decode(row) { decodeRow(BeatRow.serializer(), value) } ?: continue
-                    beatVersion = row.version
-                    beatSeenAtMs?.let { beatGap.observe(clock() - it) }
-                    beatSeenAtMs = clock()
-                    silentSinceMs = null
-                }
+                Tables.TERM_ROW -> observeTerm(row)
+                Tables.BEAT_ROW -> observeBeat(row)
             }
         }
     }
 
+    private fun observeTerm(row: StoredRow) {
+        val value = row.value
+        if (value == null || row.version <= termVersion) return
+        term = decode(row) { decodeRow(TermRow.serializer(), value) } ?: return
+        termVersion = row.version
+        silentSinceMs = null
+    }
+
+    private fun observeBeat(row: StoredRow) {
+        val value = row.value
+        if (value == null || row.version <= beatVersion) return
+        beat = decode(row) { decodeRow(BeatRow.serializer(), value) } ?: return
+        beatVersion = row.version
+        beatSeenAtMs?.let { beatGap.observe(clock() - it) }
+        beatSeenAtMs = clock()
+        silentSinceMs = null
+    }
+
     /** The store has answered with everything that it holds. */
     fun storeAnswered() {
         if (silentSinceMs == null) silentSinceMs = clock()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDesk.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDesk.kt
@@ -46,14 +46,14 @@
         val usable = callers().filter { (pausedUntilMs[it.name] ?: Long.MIN_VALUE) <= now }
         val maxLong = (usable.size * LONG_CALL_SHARE).toInt().coerceAtLeast(1)
         val idle = ArrayDeque(usable.filter { it.name !in busy })
-        for (step in steps) {
-            if (idle.isEmpty()) return
-            if (step.advice.isInFlight || step.advice.notBeforeMs > now) continue
+        val wanting = steps.filter { !it.advice.isInFlight && it.advice.notBeforeMs <= now }
+        for (step in wanting) {
+            val caller = idle.firstOrNull() ?: return
             val workerIds = workersToAsk(step, now)
-            if (workerIds.isEmpty()) continue
             val isLong = durationMs(step, workerIds.size) > LONG_CALL_MS
-            if (isLong && busyWithLong.size >= maxLong) continue
-            send(idle.removeFirst(), step, workerIds, isLong)
+            if (workerIds.isEmpty() || isLong && busyWithLong.size >= maxLong) continue
+            idle.removeFirst()
+            send(caller, step, workerIds, isLong)
         }
     }
 
@@ -99,6 +99,12 @@
         val validityMs = step.job.terms.advice?.validityMs ?: 0
         step.advice.record(workerIds, answer, now + validityMs - TICKET_TRANSIT_MS)
         context.metrics.advice("answered")
-        context.log.event("advice", "step" to step.name, "asked" to workerIds.size, "good" to answer.size, "caller" to caller.name)
+        context.log.event(
+            "advice",
+            "step" to step.name,
+            "asked" to workerIds.size,
+            "good" to answer.size,
+            "caller" to caller.name,
+        )
     }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobBook.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobBook.kt
@@ -10,7 +10,9 @@
     private val jobs = LinkedHashMap<String, TrackedJob>()
     private val open = LinkedHashMap<String, TrackedJob>()
     private val cancelled = HashSet<String>()
-    private val ended = HashSet<String>()
+
+    /** Time of day at which jobs ended whose end is stored or about to be. */
+    private val ended = LinkedHashMap<String, Long>()
     private val storedProgress = HashMap<String, JobProgress>()
 
     val openJobs: Collection<TrackedJob> get() = open.values
@@ -21,10 +23,13 @@
     fun task(name: TaskName): TrackedTask? = jobs[name.jobId]?.task(name)
 
     /** Notes a job whose end is stored; a late message about it must not start it again. */
-    fun noteEnded(jobId: String) {
-        ended += jobId
+    fun noteEnded(jobId: String, endedAtMs: Long) {
+        ended[jobId] = endedAtMs
     }
 
+    /** Jobs that ended before a time of day. */
+    fun endedBefore(timeMs: Long): List<String> = ended.filterValues { it < timeMs }.keys.toList()
+
     /** Notes what a former leader stored; it is applied when the job itself is added. */
     fun noteProgress(jobId: String, progress: JobProgress) {
         storedProgress[jobId] = progress
@@ -54,12 +59,14 @@
         job.phase = phase
         job.endedAtMs = endedAtMs
         open.remove(job.id)
+        ended[job.id] = endedAtMs
     }
 
-    fun forget(job: TrackedJob) {
-        jobs.remove(job.id)
-        ended += job.id
-        cancelled.remove(job.id)
+    /** Drops all knowledge of a job whose rows are deleted. */
+    fun forget(jobId: String) {
+        jobs.remove(jobId)
+        cancelled.remove(jobId)
+        ended.remove(jobId)
     }
 
     /** Jobs without a started task, by queue. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -20,8 +20,13 @@
         val ageMs = (context.timeOfDay() - accepted.acceptedAtMs).coerceIn(0, MAX_AGE_MS)
         val job = book.add(accepted, version, context.clock() - ageMs) ?: return
         context.log.event(
-            "job_known", "job" to job.id, "queue" to job.terms.queue, "phase" to job.phase, "version" to version,
-            "age_ms" to ageMs, "objective_in_ms" to job.objectiveAtMs - context.clock(),
+            "job_known",
+            "job" to job.id,
+            "queue" to job.terms.queue,
+            "phase" to job.phase,
+            "version" to version,
+            "age_ms" to ageMs,
+            "objective_in_ms" to job.objectiveAtMs - context.clock(),
         )
         if (job.isOpen && book.isCancelled(job.id)) close(job, JobPhase.CANCELLED, "cancelled before it was known")
         context.wakePlanner()
@@ -43,7 +48,7 @@
 
     private fun observeSpeed(placement: Placement) {
         val step = placement.task.step.description
-        if (step.isGang || placement.isAdopted || placement.startedFromCheckpoint || step.estimateMs <= 0) return
+        if (!placement.showsSpeed) return
         val ratio = (context.clock() - placement.orderedAtMs).toDouble() / step.estimateMs
         context.fleet.speeds.observe(placement.task.step.job.terms.queue, placement.worker, ratio)
     }
@@ -69,14 +74,24 @@
     /** The run does not exist any more and has left no end. */
     fun lost(placement: Placement, reason: String) {
         placement.worker.remove(placement)
-        context.log.event("run_lost", "task" to placement.run.task, "run" to placement.run.run, "worker" to placement.worker.id, "reason" to reason)
+        context.log.event(
+            "run_lost",
+            "task" to placement.run.task,
+            "run" to placement.run.run,
+            "worker" to placement.worker.id,
+            "reason" to reason,
+        )
         restartLater(placement.task)
     }
 
     private fun noteEnd(task: TrackedTask, end: TaskEnd, worker: TrackedWorker) {
         val job = task.step.job
         context.log.event(
-            "run_ended", "task" to end.run.task, "run" to end.run.run, "worker" to worker.id, "end" to end.kind,
+            "run_ended",
+            "task" to end.run.task,
+            "run" to end.run.run,
+            "worker" to worker.id,
+            "end" to end.kind,
             "end_number" to end.number,
         )
         task.hasStarted = true
@@ -129,8 +144,13 @@
         book.close(job, phase, context.timeOfDay())
         val durationMs = context.clock() - job.acceptedAtMs
         context.log.event(
-            "job_ended", "job" to job.id, "queue" to job.terms.queue, "phase" to phase, "reason" to reason,
-            "duration_ms" to durationMs, "objective_ms" to job.objectiveAtMs - job.acceptedAtMs,
+            "job_ended",
+            "job" to job.id,
+            "queue" to job.terms.queue,
+            "phase" to phase,
+            "reason" to reason,
+            "duration_ms" to durationMs,
+            "objective_ms" to job.objectiveAtMs - job.acceptedAtMs,
         )
         context.metrics.jobEnded(job.terms.queue, phase.name, durationMs)
         job.steps.flatMap { it.tasks }.mapNotNull { it.placement }.forEach { stopper.stop(it, reason) }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -83,6 +83,7 @@
         launch { followIntake(lifecycle, versions.intake) }
         launch { followWorkers(registry, versions.workers) }
         launch { journal.run() }
+        launch { RowCollector(context).run() }
         launch { keepUp(registry, StragglerCheck(context, stopper, quarantine)) }
         while (true) {
             withTimeoutOrNull(IDLE_ROUND_MS) { wakePlanner.receive() }
@@ -161,5 +162,11 @@
 internal fun takeIntake(row: StoredRow, lifecycle: JobLifecycle) {
     val value = row.value ?: return
     val cancelled = Tables.cancelledJobOf(row.id.key)
-    if (cancelled != null) lifecycle.cancel(cancelled) else lifecycle.accept(decodeRow(AcceptedJob.serializer(), value), row.version)
+    if (cancelled !=
+        null
+    ) {
+        lifecycle.cancel(cancelled)
+    } else {
+        lifecycle.accept(decodeRow(AcceptedJob.serializer(), value), row.version)
+    }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -75,7 +75,7 @@
     }
 
     private inner class Round(private val now: Long) {
-        private val room = RoomView(fleet.workers)
+        private val room = RoomView()
         private val eligibleByService = HashMap<String, List<TrackedWorker>>()
         private var waitingGangs = 0
         val starts = ArrayList<PlannedStart>()
@@ -113,7 +113,7 @@
             workers: List<TrackedWorker>,
         ): List<Pair<TrackedTask, TrackedWorker>> {
             val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.id) }
-            val local = RoomView(allowed).also { copy -> allowed.forEach { copy.take(it, it.free - room.free(it)) } }
+            val local = RoomView().also { copy -> allowed.forEach { copy.take(it, it.free - room.free(it)) } }
             val onWorker = HashMap<TrackedWorker, Int>()
             step.tasks.mapNotNull { it.placement?.worker }.forEach { onWorker.merge(it, 1, Int::plus) }
             val limit = step.description.maxPerWorker.takeIf { it > 0 } ?: Int.MAX_VALUE
@@ -139,13 +139,20 @@
         /** A worker that is fast enough costs the less the slower it is: faster ones are left to tighter objectives. */
         private fun speedCost(worker: TrackedWorker, slowestInTime: Double): Double {
             val slowness = fleet.speeds.slownessOf(worker)
-            return if (slowestInTime >= MIN_SPARE_SPEED && slowness <= slowestInTime) SPARE_SPEED_WEIGHT / slowness else SLOWNESS_WEIGHT * slowness
+            return if (slowestInTime >= MIN_SPARE_SPEED &&
+                slowness <= slowestInTime
+            ) {
+                SPARE_SPEED_WEIGHT / slowness
+            } else {
+                SLOWNESS_WEIGHT * slowness
+            }
         }
 
         private fun cost(task: TrackedTask, worker: TrackedWorker, local: RoomView, slowestInTime: Double): Double {
             val description = task.step.description
             val capacity = worker.entry.capacity.processorsMillicores.coerceAtLeast(1)
-            val leftOver = (local.free(worker).processorsMillicores - task.step.room.processorsMillicores).toDouble() / capacity
+            val leftOver =
+                (local.free(worker).processorsMillicores - task.step.room.processorsMillicores).toDouble() / capacity
             val isRemote = description.dataRack?.let { it !in worker.entry.labels } ?: false
             return speedCost(worker, slowestInTime) + leftOver +
                 (if (isRemote) REMOTE_WEIGHT else 0.0) +
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -63,11 +63,21 @@
         if (context.changes.isEmpty && counts == null && roster == null) return true
         val batch = context.changes.takeBatch(MAX_JOBS_IN_BATCH)
         val beat = context.renewal.dueBeat()
-        val writes = batch.jobs.map { RowWrite(Tables.progressRow(it.id), encodeRow(JobProgress.serializer(), it.toProgress())) } +
-            listOfNotNull(
-                counts?.let { RowWrite(Tables.WAITING_ROW, encodeRow(WaitingCounts.serializer(), WaitingCounts(it))) },
-                roster?.let { RowWrite(Tables.ROSTER_ROW, encodeRow(WorkerRosterRow.serializer(), WorkerRosterRow(it.toList()))) },
-            ) + listOfNotNull(beat, dueSpeeds())
+        val writes =
+            batch.jobs.map {
+                RowWrite(Tables.progressRow(it.id), encodeRow(JobProgress.serializer(), it.toProgress()))
+            } +
+                listOfNotNull(
+                    counts?.let {
+                        RowWrite(Tables.WAITING_ROW, encodeRow(WaitingCounts.serializer(), WaitingCounts(it)))
+                    },
+                    roster?.let {
+                        RowWrite(
+                            Tables.ROSTER_ROW,
+                            encodeRow(WorkerRosterRow.serializer(), WorkerRosterRow(it.toList())),
+                        )
+                    },
+                ) + listOfNotNull(beat, dueSpeeds())
         val phases = batch.jobs.associateWith { it.phase }
         val startedAtMs = context.clock()
         val condition = RowCondition(Tables.TERM_ROW, context.termRowVersion)
@@ -84,7 +94,12 @@
         return false
     }
 
-    private fun saved(batch: ChangeBatch, phases: Map<TrackedJob, JobPhase>, counts: Map<String, Int>?, roster: Set<RosterWorker>?) {
+    private fun saved(
+        batch: ChangeBatch,
+        phases: Map<TrackedJob, JobPhase>,
+        counts: Map<String, Int>?,
+        roster: Set<RosterWorker>?,
+    ) {
         context.savedChange = maxOf(context.savedChange, batch.savedUpTo)
         phases.forEach { (job, phase) -> job.savedPhase = phase }
         counts?.let {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Quarantine.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Quarantine.kt
@@ -21,7 +21,11 @@
             EndKind.FAILED -> worker.failedJobs += end.run.task.jobId
             else -> return
         }
-        if (worker.failedJobs.size >= FAILED_JOBS) isolate(worker, "tasks of ${worker.failedJobs.size} jobs failed in a row")
+        if (worker.failedJobs.size >=
+            FAILED_JOBS
+        ) {
+            isolate(worker, "tasks of ${worker.failedJobs.size} jobs failed in a row")
+        }
     }
 
     /** Starts nothing on [worker] for some time. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -37,14 +37,22 @@
     suspend fun load(): LoadedVersions {
         val startedAtMs = context.clock()
         val tables = listOf(dependencies.workerTable, Tables.LEADER_NOTES, Tables.PROGRESS, Tables.INTAKE)
-        val (workers, notes, progress, intake) = coroutineScope {
-            tables.map { table -> async { untilRead { reader.readTable(table) } } }.awaitAll()
+        val contents = coroutineScope {
+            tables.map { table -> async { table to untilRead { reader.readTable(table) } } }.awaitAll().toMap()
         }
+        val workers = contents.getValue(dependencies.workerTable)
+        val notes = contents.getValue(Tables.LEADER_NOTES)
+        val progress = contents.getValue(Tables.PROGRESS)
+        val intake = contents.getValue(Tables.INTAKE)
         val roster = notes.rows.firstOrNull { it.id == Tables.ROSTER_ROW }?.value
             ?.let { decodeRow(WorkerRosterRow.serializer(), it).workers }.orEmpty()
         for (row in progress.rows) {
             val stored = row.value?.let { decodeRow(JobProgress.serializer(), it) } ?: continue
-            if (stored.phase.isEnded) context.book.noteEnded(row.id.key) else context.book.noteProgress(row.id.key, stored)
+            if (stored.phase.isEnded) {
+                context.book.noteEnded(row.id.key, stored.endedAtMs ?: context.timeOfDay())
+            } else {
+                context.book.noteProgress(row.id.key, stored)
+            }
         }
         // Jobs that have ended need no decoding; after some minutes they are most of the table.
         intake.rows.filterNot { context.book.isEnded(it.id.key) }.forEach { takeIntake(it, lifecycle) }
@@ -53,8 +61,12 @@
         roster.forEach { registry.addFormer(it) }
         notes.rows.firstOrNull { it.id == Tables.SPEEDS_ROW }?.value?.let { restoreSpeeds(it) }
         context.log.event(
-            "recovery_loaded", "term" to context.term, "jobs" to intake.rows.size, "open" to context.book.openJobs.size,
-            "workers" to context.fleet.workers.size, "duration_ms" to context.clock() - startedAtMs,
+            "recovery_loaded",
+            "term" to context.term,
+            "jobs" to intake.rows.size,
+            "open" to context.book.openJobs.size,
+            "workers" to context.fleet.workers.size,
+            "duration_ms" to context.clock() - startedAtMs,
         )
         return LoadedVersions(intake.version, workers.version)
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -31,7 +31,12 @@
         if (report.ends.size < MAX_ENDS_IN_REPORT) dropMissing(worker, report, requestedAtMs)
         if (!worker.isContacted) {
             worker.isContacted = true
-            context.log.event("worker_contacted", "worker" to worker.id, "running" to report.running.size, "ends" to report.ends.size)
+            context.log.event(
+                "worker_contacted",
+                "worker" to worker.id,
+                "running" to report.running.size,
+                "ends" to report.ends.size,
+            )
         }
         context.wakePlanner()
     }
@@ -74,7 +79,7 @@
     /** Members of a gang go as fast as the slowest one and say nothing about their own worker. */
     private fun observeSpeed(placement: Placement, now: Long) {
         val step = placement.task.step.description
-        if (step.isGang || placement.isAdopted || placement.startedFromCheckpoint || placement.percent < MIN_PERCENT_FOR_SPEED || step.estimateMs <= 0) return
+        if (!placement.showsSpeed || placement.percent < MIN_PERCENT_FOR_SPEED) return
         val impliedMs = (now - placement.orderedAtMs) * PERCENT / placement.percent
         context.fleet.speeds.observe(placement.task.step.job.terms.queue, placement.worker, impliedMs / step.estimateMs)
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoomView.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoomView.kt
@@ -3,7 +3,7 @@
 
 import dev.bronzeshore.core.Resources
 
-internal class RoomView(private val workers: Collection<TrackedWorker>) {
+internal class RoomView {
     private val taken = HashMap<TrackedWorker, Resources>()
 
     fun free(worker: TrackedWorker): Resources = taken[worker]?.let { worker.free - it } ?: worker.free
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -24,10 +24,7 @@
 /** A planned start. */
 internal data class PlannedStart(val task: TrackedTask, val worker: TrackedWorker, val run: Long, val ticket: String?)
 
-internal class TaskStarter(
-    private val context: TermContext,
-    private val stopper: RunStopper,
-) {
+internal class TaskStarter(private val context: TermContext, private val stopper: RunStopper) {
     /** Takes the room at once and sends the order. */
     fun start(planned: PlannedStart) {
         val task = planned.task
@@ -44,13 +41,22 @@
     private suspend fun send(placement: Placement, ticket: String?) {
         var isUncertain = false
         repeat(MAX_SENDS) {
-            if (placement.worker.placement(placement.run) !== placement || placement.state != PlacementState.ORDERED) return
+            if (placement.worker.placement(placement.run) !== placement ||
+                placement.state != PlacementState.ORDERED
+            ) {
+                return
+            }
             val answer = context.calls.start(placement.worker.entry, orderFor(placement, ticket))
             if (answer.result != StartResult.UNKNOWN) return settle(placement, answer.result, isUncertain)
             isUncertain = true
             suspect(placement.worker)
         }
-        context.log.event("start_uncertain", "task" to placement.run.task, "run" to placement.run.run, "worker" to placement.worker.id)
+        context.log.event(
+            "start_uncertain",
+            "task" to placement.run.task,
+            "run" to placement.run.run,
+            "worker" to placement.worker.id,
+        )
         context.metrics.start(StartResult.UNKNOWN.name)
         if (placement.task.step.description.isGang) stopGang(placement.task.step, "a member's start got no answer")
     }
@@ -61,15 +67,23 @@
         placement.validUntilWorkerMs = maxOf(placement.validUntilWorkerMs, validUntil)
         worker.clock.extendLease(validUntil)
         return StartOrder(
-            placement.run, placement.task.step.job.accepted.description.payload, validUntil, context.term,
-            placement.task.checkpoint, ticket,
+            placement.run,
+            placement.task.step.job.accepted.description.payload,
+            validUntil,
+            context.term,
+            placement.task.checkpoint,
+            ticket,
         )
     }
 
     private suspend fun settle(placement: Placement, result: StartResult, isUncertain: Boolean) {
         context.metrics.start(result.name)
         context.log.event(
-            "start", "task" to placement.run.task, "run" to placement.run.run, "worker" to placement.worker.id, "result" to result,
+            "start",
+            "task" to placement.run.task,
+            "run" to placement.run.run,
+            "worker" to placement.worker.id,
+            "result" to result,
         )
         if (result == StartResult.STARTED) return started(placement)
         react(placement, result)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
@@ -37,12 +37,11 @@
     /** The whole chain including one call for advice for each step. */
     private val chainMs: Long get() = chainFromMs.max()
 
-    fun step(occurrence: Int, number: Int): TrackedStep? =
-        if (number in accepted.description.steps.indices) {
-            steps.getOrNull(occurrence * accepted.description.steps.size + number)
-        } else {
-            null
-        }
+    fun step(occurrence: Int, number: Int): TrackedStep? = if (number in accepted.description.steps.indices) {
+        steps.getOrNull(occurrence * accepted.description.steps.size + number)
+    } else {
+        null
+    }
 
     fun task(name: TaskName): TrackedTask? = step(name.occurrence, name.step)?.tasks?.getOrNull(name.index)
 
@@ -66,7 +65,8 @@
         for (number in description.indices.reversed()) {
             val following = description.indices.filter { number in description[it].after }
             val adviceMs = advice?.let { it.decisionMs + it.perWorkerMs * ADVICE_WORKERS_IN_OBJECTIVE } ?: 0.0
-            result[number] = description[number].estimateMs + adviceMs.toLong() + (following.maxOfOrNull { result[it] } ?: 0)
+            result[number] =
+                description[number].estimateMs + adviceMs.toLong() + (following.maxOfOrNull { result[it] } ?: 0)
         }
         return result
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -34,17 +34,16 @@
 }
 
 /** A run of a task on a worker, from the order until its end is known. */
-internal class Placement(
-    val task: TrackedTask,
-    val worker: TrackedWorker,
-    val run: TaskRun,
-    val orderedAtMs: Long,
-) {
+internal class Placement(val task: TrackedTask, val worker: TrackedWorker, val run: TaskRun, val orderedAtMs: Long) {
     var state: PlacementState = PlacementState.ORDERED
 
     /** Ordered by a former leader, so its start is not known. */
     var isAdopted: Boolean = false
-    val startedFromCheckpoint: Boolean = task.checkpoint != null
+    private val startedFromCheckpoint = task.checkpoint != null
+
+    /** The run's time tells how fast its worker is; members of a gang all go as fast as the slowest one. */
+    val showsSpeed: Boolean
+        get() = !isAdopted && !startedFromCheckpoint && task.step.description.let { !it.isGang && it.estimateMs > 0 }
 
     /** The worker's clock after which the start order has no effect any more. */
     var validUntilWorkerMs: Long = 0
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -90,8 +90,14 @@
         strays.remove(run)?.let { used -= it }
     }
 
-    fun accepts(nowMs: Long): Boolean = isContacted && isListed && isReachable && isOnRoster && !isGone && !isSuspect &&
-        !entry.isDraining && quarantinedUntilMs <= nowMs
+    fun accepts(nowMs: Long): Boolean = isContacted &&
+        isListed &&
+        isReachable &&
+        isOnRoster &&
+        !isGone &&
+        !isSuspect &&
+        !entry.isDraining &&
+        quarantinedUntilMs <= nowMs
 
     /** Time from which ends up to a number may be acknowledged: everything before [savedChange] is stored. */
     fun acknowledge(savedChange: Long) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -23,7 +23,8 @@
 
     /** Leases that a former leader granted are over after this steady time. */
     private val formerLeasesUntilMs =
-        startedAtMs + (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs + LEASE_MARGIN_MS
+        startedAtMs + (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs +
+            LEASE_MARGIN_MS
 
     /** Former workers and the jobs that may run there; null stands for any job. */
     private val formerWorkers = HashMap<TrackedWorker, Set<String>?>()
@@ -51,8 +52,14 @@
         }
         if (context.fleet.livesOf(life.workerId).any { it.life.startedAtMs > life.startedAtMs }) return
         val entry = WorkerEntry(
-            life, worker.service, worker.address, dataCentre = "", isDraining = false, capacity = Resources.NONE,
-            labels = emptySet(), remainingMs = null,
+            life,
+            worker.service,
+            worker.address,
+            dataCentre = "",
+            isDraining = false,
+            capacity = Resources.NONE,
+            labels = emptySet(),
+            remainingMs = null,
         )
         add(entry).apply {
             isListed = false
@@ -74,7 +81,11 @@
             if (older.life.startedAtMs < entry.life.startedAtMs) end(older, "the worker has started again")
         }
         val known = context.fleet.find(entry.life) ?: return add(entry).let { }
-        if (known.entry.isDraining != entry.isDraining) context.log.event("worker_draining", "worker" to known.id, "draining" to entry.isDraining)
+        if (known.entry.isDraining !=
+            entry.isDraining
+        ) {
+            context.log.event("worker_draining", "worker" to known.id, "draining" to entry.isDraining)
+        }
         known.entry = entry
         known.isListed = true
         context.wakePlanner()
@@ -82,7 +93,12 @@
 
     private fun add(entry: WorkerEntry): TrackedWorker {
         val worker = context.fleet.add(entry)
-        context.log.event("worker_added", "worker" to worker.id, "started_at_ms" to worker.life.startedAtMs, "address" to entry.address)
+        context.log.event(
+            "worker_added",
+            "worker" to worker.id,
+            "started_at_ms" to worker.life.startedAtMs,
+            "address" to entry.address,
+        )
         val session = WorkerSession(context, worker, reports, ::reborn)
         worker.probe = session::probe
         context.scope.launch { session.run() }
@@ -114,7 +130,9 @@
                 now >= formerLeasesUntilMs
             }
             if (!isOver) continue
-            worker.placements.toList().forEach { lifecycle.lost(it, "its lease is over and its worker does not answer") }
+            worker.placements.toList().forEach {
+                lifecycle.lost(it, "its lease is over and its worker does not answer")
+            }
             if (!worker.isListed) end(worker, "the worker is not listed and does not answer")
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -36,7 +36,11 @@
         val requestedAtMs = context.clock()
         context.metrics.look()
         when (val answer = context.calls.hold(worker.entry, orderAt(requestedAtMs).copy(waitMs = 0))) {
-            is HoldAnswer.Report -> if (answer.startedAtMs == worker.life.startedAtMs) reports.handle(worker, answer, requestedAtMs)
+            is HoldAnswer.Report -> if (answer.startedAtMs ==
+                worker.life.startedAtMs
+            ) {
+                reports.handle(worker, answer, requestedAtMs)
+            }
             else -> worker.markUnreachable()
         }
         worker.isSuspect = false
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClassRecording.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClassRecording.kt
@@ -74,7 +74,10 @@
 
 private suspend fun exerciseCalls(settings: ClusterSettings) {
     val link = PlatformLink(
-        SelectorManager(Dispatchers.IO), Dispatchers.IO, "$LOOPBACK:${settings.metrics.port}", settings.storeAddress,
+        SelectorManager(Dispatchers.IO),
+        Dispatchers.IO,
+        "$LOOPBACK:${settings.metrics.port}",
+        settings.storeAddress,
     )
     link.store.changes("none", 0, 0)
     link.store.transact(StoreTransaction(writes = listOf(RowWrite(RowId("none", "", "none"), ByteArray(1)))))
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -21,7 +21,8 @@
     private val advice = counter("bronzeshore_advice_calls_total", "Calls for advice by outcome.", "outcome")
     private val broken = counter("bronzeshore_invariants_broken_total", "Invariants found broken.")
     private val journal = histogram("bronzeshore_journal_seconds", "Time of a journal write by outcome.", "outcome")
-    private val jobs = histogram("bronzeshore_job_seconds", "Time from acceptance to the end of a job.", "queue", "phase")
+    private val jobs =
+        histogram("bronzeshore_job_seconds", "Time from acceptance to the end of a job.", "queue", "phase")
 
     init {
         gauge("bronzeshore_configuration_version", "Configuration in force.", configVersion)
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -76,7 +76,10 @@
     private val localDesk: JobDesk = createStoreDesk(store, SteadyClock, { health.isServed }, scope)
     private val desk = PeerDesk(localDesk, health, { directory.peers }, peerCaller)
     private val election = LeaderElection(
-        store, ownRow, SteadyClock, candidateDelayMs(),
+        store,
+        ownRow,
+        SteadyClock,
+        candidateDelayMs(),
         LeaderEvents(
             gained = ::startTerm,
             lost = { endTerm() },
@@ -120,7 +123,9 @@
         log.event("stop", "process" to settings.processName, "leads" to (election.currentTerm != null))
         scope.launch(control) { passOnLeadership() }
         delay(BALANCER_NOTICE_MS)
-        while (inFlight.get() > 0 && SteadyClock() - startedAtMs < settings.bounds.stopSignalGraceMs - EXIT_RESERVE_MS) {
+        while (inFlight.get() > 0 &&
+            SteadyClock() - startedAtMs < settings.bounds.stopSignalGraceMs - EXIT_RESERVE_MS
+        ) {
             delay(STOP_POLL_MS)
         }
         log.event("stopped", "in_flight" to inFlight.get(), "duration_ms" to SteadyClock() - startedAtMs)
@@ -133,8 +138,11 @@
         election.release()
     }
 
-    private fun candidateDelayMs(): Long =
-        ((LARGEST_PROCESSOR_SHARE - settings.processorShare).coerceAtLeast(0.0) * CANDIDATE_DELAY_PER_PROCESSOR_MS).toLong()
+    private fun candidateDelayMs(): Long = (
+        (LARGEST_PROCESSOR_SHARE - settings.processorShare).coerceAtLeast(
+            0.0,
+        ) * CANDIDATE_DELAY_PER_PROCESSOR_MS
+        ).toLong()
 
     private suspend fun startTerm(won: LeaderTerm) {
         endTerm()
@@ -179,7 +187,9 @@
         handlerOf(SUBMIT_CALL) { onControl { desk.submitHere(it) }.right() },
         handlerOf(STATE_CALL) { onControl { knownState(it.jobId) ?: localDesk.stateOf(it.jobId) }.right() },
         handlerOf(PHASE_CALL) { PhaseReply(onControl { runner?.phaseOf(it.jobId) }).right() },
-        handlerOf(HANDOVER_CALL) { HandoverReply(onControl { election.takeOverFrom(it.term, "handed over", isOnlyCandidate = true) }).right() },
+        handlerOf(HANDOVER_CALL) {
+            HandoverReply(onControl { election.takeOverFrom(it.term, "handed over", isOnlyCandidate = true) }).right()
+        },
         handlerOf(ANNOUNCE_CALL) { Announcement(onControl { runner?.takeAnnounced(it) } != null).right() },
         handlerOf(WATCH_CALL) { request ->
             delay(request.holdMs.coerceIn(0, WATCH_HOLD_MS))
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
@@ -56,7 +56,11 @@
     private suspend fun watchOnce(leader: KnownLeader) {
         val startedAtMs = SteadyClock()
         if (calls.call(leader.node(), WATCH_CALL, WatchRequest(WATCH_HOLD_MS), WATCH_TIMEOUT_MS) != null) return
-        if (SteadyClock() - startedAtMs > BROKEN_WITHIN_MS || election.knownLeader?.term != leader.term) return delay(RETRY_MS)
+        if (SteadyClock() - startedAtMs > BROKEN_WITHIN_MS ||
+            election.knownLeader?.term != leader.term
+        ) {
+            return delay(RETRY_MS)
+        }
         delay(SECOND_TRY_PAUSE_MS)
         val secondAtMs = SteadyClock()
         if (calls.call(leader.node(), WATCH_CALL, WatchRequest(0), SECOND_TRY_TIMEOUT_MS) != null) return
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerCaller.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerCaller.kt
@@ -21,7 +21,9 @@
             client.call(peer.peerAddress, type, request, clock() + timeoutMs + CLOCK_ALLOWANCE_MS)
         }
         if (answer == null) client.abandon(peer.peerAddress)
-        answer?.onLeft { log.event("call_failed", "call" to type.name, "peer" to peer.processName, "cause" to it.message) }
+        answer?.onLeft {
+            log.event("call_failed", "call" to type.name, "peer" to peer.processName, "cause" to it.message)
+        }
         return answer?.getOrNull()
     }
 }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerDesk.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerDesk.kt
@@ -45,8 +45,7 @@
     /** Stores a job that another process passes on, which is refused at once if the store serves neither of them. */
     suspend fun submitHere(job: AcceptedJob): SubmitAnswer = if (health.isServed) local.submit(job) else notServed()
 
-    suspend fun submit(job: AcceptedJob): SubmitAnswer =
-        if (health.isServed) hedged(job) else passOn(job, notServed())
+    suspend fun submit(job: AcceptedJob): SubmitAnswer = if (health.isServed) hedged(job) else passOn(job, notServed())
 
     private fun notServed() = SubmitAnswer.Rejected("the store does not serve this process", STORE_RETRY_MS, false)
 
@@ -62,10 +61,7 @@
         }
     }
 
-    private suspend fun firstAccepted(
-        own: Deferred<SubmitAnswer>,
-        theirs: Deferred<SubmitAnswer>,
-    ): SubmitAnswer {
+    private suspend fun firstAccepted(own: Deferred<SubmitAnswer>, theirs: Deferred<SubmitAnswer>): SubmitAnswer {
         val (first, other) = select {
             own.onAwait { it to theirs }
             theirs.onAwait { it to own }
@@ -104,7 +100,8 @@
         return own
     }
 
-    suspend fun cancel(jobId: String): Boolean = health.isServed && local.cancel(jobId) ||
+    suspend fun cancel(jobId: String): Boolean = health.isServed &&
+        local.cancel(jobId) ||
         somePeers().any { calls.call(it, CANCEL_CALL, JobRequest(jobId))?.isStored == true }
 
     suspend fun waitingIn(queue: String): Int? = (if (health.isServed) local.waitingIn(queue) else null)
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
@@ -11,12 +11,7 @@
 import kotlinx.serialization.Serializable
 
 @Serializable
-internal data class AdviceRequest(
-    val jobId: String,
-    val occurrence: Int,
-    val step: Int,
-    val workerIds: List<String>,
-) {
+internal data class AdviceRequest(val jobId: String, val occurrence: Int, val step: Int, val workerIds: List<String>) {
     val stepName: StepName get() = StepName(jobId, occurrence, step)
 }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
@@ -62,7 +62,12 @@
 
     private fun failed(reason: String) {
         failures++
-        if (!isServed || failures < FAILURES || clock() - succeededAtMs < maxOf(RECENT_MS, RECENT_CALLS * writes.typicalMs)) return
+        if (!isServed ||
+            failures < FAILURES ||
+            clock() - succeededAtMs < maxOf(RECENT_MS, RECENT_CALLS * writes.typicalMs)
+        ) {
+            return
+        }
         isServed = false
         log.event("lost", "cause" to reason, "since_success_ms" to clock() - succeededAtMs)
     }
--- a/server/src/test/kotlin/dev/bronzeshore/server/processes/ProcessCluster.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/processes/ProcessCluster.kt
@@ -2,8 +2,8 @@
 package dev.bronzeshore.server.processes
 
 import dev.bronzeshore.core.ApplyRequest
-import dev.bronzeshore.core.StrictJson
 import dev.bronzeshore.core.ListenAddress
+import dev.bronzeshore.core.StrictJson
 import dev.bronzeshore.server.PlatformAddresses
 import dev.bronzeshore.server.Settings
 import dev.bronzeshore.standins.Faults
