Try the scheduler against stand-ins with seeded faults; keep a start that is not sent yet

Cause: a report that came between the plan and the send of a start order took the run for lost, so that a gang's other members waited for one that never came.

In-memory stand-ins of store and workers with a judge of their own.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -64,7 +64,7 @@
     private fun orderFor(placement: Placement, ticket: String?): StartOrder {
         val worker = placement.worker
         val validUntil = worker.clock.nowOnWorker(context.clock()) + START_VALID_MS
-        placement.validUntilWorkerMs = maxOf(placement.validUntilWorkerMs, validUntil)
+        placement.orderSent(validUntil)
         worker.clock.extendLease(validUntil)
         return StartOrder(
             placement.run,
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -45,8 +45,14 @@
     val showsSpeed: Boolean
         get() = !isAdopted && !startedFromCheckpoint && task.step.description.let { !it.isGang && it.estimateMs > 0 }
 
-    /** The worker's clock after which the start order has no effect any more. */
-    var validUntilWorkerMs: Long = 0
+    /** The worker's clock after which the start order has no effect any more; unbounded until the order is sent. */
+    var validUntilWorkerMs: Long = Long.MAX_VALUE
+        private set
+
+    /** A start order that is valid until [workerMs] is about to be sent. */
+    fun orderSent(workerMs: Long) {
+        validUntilWorkerMs = if (validUntilWorkerMs == Long.MAX_VALUE) workerMs else maxOf(validUntilWorkerMs, workerMs)
+    }
 
     /** Steady time at which the worker confirmed the start or the stop. */
     var confirmedAtMs: Long? = null
--- /dev/null
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/SchedulerTrial.kt
@@ -0,0 +1,147 @@
+/**
+ * Runs real leaders against in-memory stand-ins on virtual time, with faults drawn from a seed.
+ *
+ * The workers' own record judges whether a task ran twice at a time or a worker held more than fits.
+ */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.ClusterBounds
+import dev.bronzeshore.core.cluster.JobDescription
+import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.QueueTerms
+import dev.bronzeshore.core.cluster.RowId
+import dev.bronzeshore.core.cluster.StepDescription
+import dev.bronzeshore.core.cluster.StoredRow
+import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.WorkerChange
+import dev.bronzeshore.core.cluster.WorkerEntry
+import dev.bronzeshore.core.cluster.decodeRow
+import dev.bronzeshore.core.cluster.encodeRow
+import dev.bronzeshore.standins.cluster.MAX_LEASE_MS
+import dev.bronzeshore.standins.cluster.StoreStandIn
+import dev.bronzeshore.standins.cluster.TaskModel
+import dev.bronzeshore.standins.cluster.WorkersStandIn
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlin.random.Random
+
+internal const val SERVICE = "service"
+internal val WORKER_CAPACITY = Resources(16_000, 32_000)
+private const val WORKER_TABLE = "workers"
+
+internal fun boundsForTests() = ClusterBounds(
+    maxLeaseMs = MAX_LEASE_MS,
+    stopGraceMs = 400,
+    gangWaitMs = 3_000,
+    stopSignalGraceMs = 6_000,
+    statusRetentionMs = 120_000,
+    earlyStartMs = 250,
+    remoteFactor = 1.5,
+)
+
+internal class SchedulerTrial(private val scope: TestScope, seed: Long, workerCount: Int = 6) {
+    val random = Random(seed)
+    val store = StoreStandIn(random, scope.backgroundScope)
+    private val durations = HashMap<String, Long>()
+    private val accepted = LinkedHashMap<String, AcceptedJob>()
+    val workers = WorkersStandIn(random, scope.backgroundScope, ::nowMs, SERVICE, WORKER_CAPACITY) { name ->
+        val step = accepted.getValue(name.jobId).description.steps[name.step]
+        TaskModel(step.size, step.estimateMs)
+    }
+    private val entries = HashMap<String, WorkerEntry>()
+    private var term = 0L
+    private var leader: Job? = null
+    private val jobs = HashMap<Long, Job>()
+    var runner: LeaderTermRunner? = null
+        private set
+
+    init {
+        workers.onChange = ::register
+        scope.backgroundScope.launch { workers.run() }
+        repeat(workerCount) { workers.boot("w$it") }
+    }
+
+    fun nowMs(): Long = scope.currentTime
+
+    private fun register(change: WorkerChange) {
+        val entry = change.entry
+        val key = entry?.let { "${it.life.workerId}@${it.life.startedAtMs}" }
+        if (entry != null && key != null) entries[key] = entry
+        store.put(RowId(WORKER_TABLE, "", change.workerId), key?.toByteArray())
+    }
+
+    fun unlist(workerId: String) = register(WorkerChange(workerId, null))
+
+    private fun decode(row: StoredRow) = WorkerChange(row.id.key, row.value?.let { entries[it.decodeToString()] })
+
+    /** Starts the leader of the next term; a former one goes on if it is not stopped. */
+    fun lead(): Job {
+        term++
+        store.put(Tables.TERM_ROW, term.toString().toByteArray())
+        val version = termVersion()
+        val dependencies = LeaderDependencies(
+            store = store.asSeenBy("leader-$term"),
+            calls = workers.calls(),
+            bounds = boundsForTests(),
+            clock = ::nowMs,
+            timeOfDay = ::nowMs,
+            metrics = SchedulerMetrics(),
+            renewal = TermRenewal({ null }, {}),
+            adviceCallers = { emptyList() },
+            workerTable = WORKER_TABLE,
+            decodeWorker = ::decode,
+            confirmTerm = { if (termVersion() != version) jobs[version]?.cancel() },
+        )
+        val started = LeaderTermRunner(dependencies, term, version)
+        runner = started
+        return scope.backgroundScope.launch { started.run() }.also {
+            leader = it
+            jobs[version] = it
+        }
+    }
+
+    private fun termVersion() = store.rowsOf(Tables.LEADER).first { it.id == Tables.TERM_ROW }.version
+
+    fun stopLeader() {
+        leader?.cancel()
+    }
+
+    fun submit(id: String, vararg steps: StepDescription, priority: Int = 1, attempts: Int = 3) {
+        val terms = QueueTerms("queue-$priority", SERVICE, priority, attempts, 2.0, 1_000)
+        val job = AcceptedJob(id, JobDescription("payload", steps.toList()), terms, nowMs())
+        accepted[id] = job
+        durations[id] = steps.maxOf { it.estimateMs }
+        store.put(Tables.acceptedRow(id), encodeRow(AcceptedJob.serializer(), job))
+    }
+
+    fun cancel(id: String) = store.put(Tables.cancelRow(id), ByteArray(0))
+
+    fun phaseOf(id: String): JobPhase? =
+        store.valueOf(Tables.progressRow(id))?.let { decodeRow(JobProgress.serializer(), it).phase }
+
+    val jobIds: Set<String> get() = accepted.keys
+
+    suspend fun awaitPhase(id: String, phase: JobPhase, withinMs: Long): Boolean {
+        val untilMs = nowMs() + withinMs
+        while (nowMs() < untilMs) {
+            if (phaseOf(id) == phase) return true
+            delay(20)
+        }
+        return false
+    }
+}
+
+/** A step of [replicas] tasks of [cores] for [durationMs]. */
+internal fun step(
+    replicas: Int,
+    cores: Int,
+    durationMs: Long,
+    isGang: Boolean = false,
+    after: List<Int> = emptyList(),
+) = StepDescription(replicas, Resources(cores * 1_000L, 1), durationMs, after, isGang)
--- /dev/null
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
@@ -0,0 +1,122 @@
+/** The platform's transactional store in memory, with faults. For one thread, on the virtual time of a test. */
+package dev.bronzeshore.standins.cluster
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bronzeshore.core.cluster.ChangePage
+import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.ReadFailure
+import dev.bronzeshore.core.cluster.RowId
+import dev.bronzeshore.core.cluster.RowPage
+import dev.bronzeshore.core.cluster.RowRangeQuery
+import dev.bronzeshore.core.cluster.StoreOutcome
+import dev.bronzeshore.core.cluster.StoreTransaction
+import dev.bronzeshore.core.cluster.StoredRow
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+
+private const val FEED_POLL_MS = 5L
+
+/** Time after which a caller gives up a call without an answer. */
+private const val GIVE_UP_MS = 600L
+
+public class StoreStandIn(private val random: Random, private val scope: CoroutineScope) {
+    public val faults: StoreFaults = StoreFaults()
+    private val rows = HashMap<RowId, StoredRow>()
+    private val historyOfTable = HashMap<String, ArrayList<StoredRow>>()
+    private var version = 0L
+
+    /** Number of calls by kind, for tests of what a design costs. */
+    public val calls: MutableMap<String, Int> = HashMap()
+
+    /** The store as the process [caller] reaches it. */
+    public fun asSeenBy(caller: String): ClusterStore = ClusterStore(
+        transact = { transact(caller, it) },
+        readPage = { readPage(caller, it) },
+        changes = { table, after, waitMs -> changes(caller, table, after, waitMs) },
+    )
+
+    /** The version of the last transaction. */
+    public val newestVersion: Long get() = version
+
+    /** The value of a row now, without a call. */
+    public fun valueOf(id: RowId): ByteArray? = rows[id]?.value
+
+    /** All rows of a table now, without a call. */
+    public fun rowsOf(table: String): List<StoredRow> = rows.values.filter { it.id.table == table && it.value != null }
+
+    private fun isRefused(caller: String) = faults.isDown || caller in faults.refusedCallers
+
+    private suspend fun transact(caller: String, transaction: StoreTransaction): StoreOutcome {
+        calls.merge("transact", 1, Int::plus)
+        delay(faults.latencyMs / 2)
+        if (isRefused(caller)) return StoreOutcome.NotApplied("refused")
+        if (random.nextDouble() < faults.lostAnswers) {
+            scope.launch {
+                delay(faults.lateByMs)
+                apply(transaction)
+            }
+            delay(GIVE_UP_MS)
+            return StoreOutcome.Unknown("lost")
+        }
+        val outcome = apply(transaction)
+        delay(faults.latencyMs / 2)
+        return outcome
+    }
+
+    private fun apply(transaction: StoreTransaction): StoreOutcome {
+        if (transaction.conditions.any { (rows[it.id]?.version ?: 0) != it.version }) {
+            return StoreOutcome.Conflict(transaction.conditions.mapNotNull { rows[it.id] })
+        }
+        version++
+        transaction.writes.forEach { record(StoredRow(it.id, it.value, version)) }
+        transaction.deletes.forEach { id -> if (rows.containsKey(id)) record(StoredRow(id, null, version)) }
+        return StoreOutcome.Applied(version)
+    }
+
+    private fun record(row: StoredRow) {
+        if (row.value == null) rows.remove(row.id) else rows[row.id] = row
+        historyOfTable.getOrPut(row.id.table) { ArrayList() } += row
+    }
+
+    /** Writes a row as the operators or the workers do. */
+    public fun put(id: RowId, value: ByteArray?) {
+        version++
+        record(StoredRow(id, value, version))
+    }
+
+    private suspend fun readPage(caller: String, query: RowRangeQuery): Either<ReadFailure, RowPage> {
+        calls.merge("read", 1, Int::plus)
+        delay(faults.latencyMs)
+        if (isRefused(caller)) return ReadFailure.Unavailable("refused").left()
+        val found = rows.values.filter { it.id.table == query.table && it.id.part == query.part }
+            .filter { query.fromKey == null || it.id.key >= query.fromKey.orEmpty() }
+            .filter { query.toKey == null || it.id.key < query.toKey.orEmpty() }
+            .sortedBy { it.id.key }
+        return RowPage(found, hasMore = false, version).right()
+    }
+
+    private suspend fun changes(
+        caller: String,
+        table: String,
+        afterVersion: Long,
+        waitMs: Long,
+    ): Either<ReadFailure, ChangePage> {
+        calls.merge("changes", 1, Int::plus)
+        var waitedMs = 0L
+        while (true) {
+            if (isRefused(caller)) return ReadFailure.Unavailable("refused").left()
+            if (afterVersion < faults.historyFrom) return ReadFailure.HistoryGone.left()
+            val changed = historyOfTable[table].orEmpty().takeLastWhile { it.version > afterVersion }
+            if (changed.isNotEmpty() || waitedMs >= waitMs) {
+                delay(faults.latencyMs)
+                return ChangePage(changed, version).right()
+            }
+            delay(FEED_POLL_MS)
+            waitedMs += FEED_POLL_MS
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -0,0 +1,113 @@
+/** A fleet of in-memory workers that register in the store stand-in. On the virtual time of a test. */
+package dev.bronzeshore.standins.cluster
+
+import dev.bronzeshore.core.Resources
+import dev.bronzeshore.core.cluster.HoldAnswer
+import dev.bronzeshore.core.cluster.HoldOrder
+import dev.bronzeshore.core.cluster.StartAnswer
+import dev.bronzeshore.core.cluster.StartOrder
+import dev.bronzeshore.core.cluster.StartResult
+import dev.bronzeshore.core.cluster.TaskName
+import dev.bronzeshore.core.cluster.TaskRun
+import dev.bronzeshore.core.cluster.WorkerCalls
+import dev.bronzeshore.core.cluster.WorkerChange
+import dev.bronzeshore.core.cluster.WorkerEntry
+import dev.bronzeshore.core.cluster.WorkerLife
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+
+private const val CALL_MS = 2L
+private const val CALL_TIMEOUT_MS = 300L
+private const val POLL_MS = 10L
+
+/** Shortest delay of an order that is carried out late. */
+private const val EARLIEST_LATE_MS = 500L
+
+public class WorkersStandIn(
+    private val random: Random,
+    private val scope: CoroutineScope,
+    private val clock: () -> Long,
+    private val service: String,
+    private val capacity: Resources,
+    private val taskOf: (TaskName) -> TaskModel,
+) {
+    public val faults: WorkerFaults = WorkerFaults()
+    public val judge: RunJudge = RunJudge()
+    private val workers = LinkedHashMap<String, WorkerModel>()
+
+    /** The changes of the list of workers, as the store would show them. */
+    public var onChange: (WorkerChange) -> Unit = {}
+
+    public val ids: Set<String> get() = workers.keys
+
+    /** Starts a worker, or a new life of one that has crashed. */
+    public fun boot(workerId: String) {
+        val entry = WorkerEntry(
+            WorkerLife(workerId, clock() + 1), service, "$workerId:1", "dc", false, capacity, emptySet(), null,
+        )
+        workers[workerId] = WorkerModel(entry, clock, faults, judge)
+        onChange(WorkerChange(workerId, entry))
+    }
+
+    /** Ends the life of a worker; what runs there is gone. */
+    public fun crash(workerId: String) {
+        workers.remove(workerId)?.crash()
+    }
+
+    /** Advances all workers, so that runs end also while nobody asks. */
+    public suspend fun run() {
+        while (true) {
+            workers.values.toList().forEach { it.advance() }
+            delay(POLL_MS)
+        }
+    }
+
+    public fun calls(): WorkerCalls = WorkerCalls(::start, ::stop, ::hold)
+
+    private fun reach(worker: WorkerEntry): WorkerModel? =
+        workers[worker.life.workerId].takeIf { worker.life.workerId !in faults.cutOff }
+
+    private suspend fun start(worker: WorkerEntry, order: StartOrder): StartAnswer {
+        delay(CALL_MS)
+        val model = reach(worker) ?: return unanswered()
+        val task = taskOf(order.run.task)
+        if (random.nextDouble() >= faults.appliedLate) return model.start(order, task)
+        scope.launch {
+            delay(random.nextLong(EARLIEST_LATE_MS, faults.latestMs))
+            if (workers[worker.life.workerId] === model) model.start(order, task)
+        }
+        return unanswered()
+    }
+
+    private suspend fun unanswered(): StartAnswer {
+        delay(CALL_TIMEOUT_MS)
+        return StartAnswer(StartResult.UNKNOWN)
+    }
+
+    private suspend fun stop(worker: WorkerEntry, run: TaskRun, fence: Long): Boolean {
+        delay(CALL_MS)
+        val model = reach(worker)
+        if (model == null) delay(CALL_TIMEOUT_MS)
+        return model?.stop(run, fence) ?: false
+    }
+
+    private suspend fun hold(worker: WorkerEntry, order: HoldOrder): HoldAnswer {
+        delay(CALL_MS)
+        var waitedMs = 0L
+        val first = reach(worker)?.hold(order) ?: return unreachable()
+        while (first is HoldAnswer.Report && waitedMs < order.waitMs) {
+            val model = reach(worker) ?: return unreachable()
+            if (model.hasNews) return model.hold(order)
+            delay(POLL_MS)
+            waitedMs += POLL_MS
+        }
+        return reach(worker)?.hold(order) ?: unreachable()
+    }
+
+    private suspend fun unreachable(): HoldAnswer {
+        delay(CALL_TIMEOUT_MS)
+        return HoldAnswer.Unreachable("cut off")
+    }
+}
