--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
@@ -137,7 +137,7 @@
             delay(spreadMs())
             return takeOver { view.mayTakeOver() }
         }
-        store.changes(Tables.LEADER, feedVersion, FEED_WAIT_MS).fold(
+        store.changes(Tables.LEADER, feedVersion, view.silenceLeftMs(FEED_WAIT_MS)).fold(
             ifLeft = { failure ->
                 view.storeFailed()
                 if (failure is ReadFailure.HistoryGone) readAll()
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderView.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderView.kt
@@ -76,8 +76,14 @@
         val leader = term ?: return true
         if (leader.processName == processName && leader.bootId != bootId) return true
         if (beat?.let { it.isReleased && it.term == leader.term } == true) return true
-        val since = silentSinceMs ?: return false
-        return clock() - since >= maxOf(LEADER_TIMEOUT_MS, SILENT_BEATS * beatGap.typicalMs)
+        return silenceLeftMs() == 0L
+    }
+
+    /** Time until the leader counts as lost if it stays silent, at most [mostMs]. */
+    fun silenceLeftMs(mostMs: Long = Long.MAX_VALUE): Long {
+        val since = silentSinceMs ?: return mostMs
+        val timeoutMs = maxOf(LEADER_TIMEOUT_MS, SILENT_BEATS * beatGap.typicalMs)
+        return (since + timeoutMs - clock()).coerceIn(0, mostMs)
     }
 
     private fun <T> decode(row: StoredRow, parse: () -> T): T? = try {
--- /dev/null
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaderElectionTest.kt
@@ -0,0 +1,126 @@
+/** Elections of several processes over one store with faults, on virtual time. */
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
+package dev.bronzeshore.leadership
+
+import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.standins.cluster.StoreStandIn
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
+
+class LeaderElectionTest {
+    private class Candidate(val name: String, val election: LeaderElection, val job: Job)
+
+    private class Cluster(private val scope: TestScope, seed: Long) {
+        val store = StoreStandIn(Random(seed), scope.backgroundScope)
+        val gained = ArrayList<Long>()
+        var storeLost = 0
+
+        fun boot(name: String): Candidate {
+            val row = NodeRow(name, "$name-${scope.currentTime}", "$name:1")
+            val events = LeaderEvents(gained = { gained += it.term }, lost = {}, storeLost = { storeLost++ })
+            val election = LeaderElection(store.asSeenBy(name), row, { scope.currentTime }, 0, events)
+            return Candidate(name, election, scope.backgroundScope.launch { election.run() })
+        }
+    }
+
+    private fun List<Candidate>.leader(): Candidate? = filter { it.job.isActive }.maxByOrNull {
+        it.election.currentTerm?.term
+            ?: 0
+    }
+        ?.takeIf { it.election.currentTerm != null }
+
+    /** Guards against two processes that hold the same term. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `each term has one leader under faults`(seed: Long) = runTest {
+        val cluster = Cluster(this, seed)
+        val random = Random(seed)
+        val candidates = MutableList(5) { cluster.boot("n$it") }
+        repeat(12) {
+            delay(random.nextLong(500, 4_000))
+            when (random.nextInt(4)) {
+                0 -> candidates.leader()?.job?.cancel()
+                1 -> cluster.store.faults.lostAnswers = random.nextDouble(0.5)
+                2 -> cluster.store.faults.isDown = !cluster.store.faults.isDown
+                else -> candidates += cluster.boot("n${candidates.size}")
+            }
+        }
+        cluster.store.faults.isDown = false
+        cluster.store.faults.lostAnswers = 0.0
+        delay(10_000)
+        assertEquals(cluster.gained.distinct(), cluster.gained)
+        assertNotNull(candidates.leader())
+    }
+
+    /** Guards against an outage of the store after which another process leads although the leader lives. */
+    @Test
+    fun `a leader keeps its term through an outage`() = runTest {
+        val cluster = Cluster(this, 1)
+        val candidates = List(3) { cluster.boot("n$it") }
+        delay(3_000)
+        val leader = candidates.leader()
+        cluster.store.faults.isDown = true
+        delay(9_000)
+        cluster.store.faults.isDown = false
+        delay(3_000)
+        assertEquals(leader?.name, candidates.leader()?.name)
+        assertTrue(cluster.storeLost > 0)
+    }
+
+    /** Guards against a lost leader that is missed for long, and against a waiting time after a handover. */
+    @Test
+    fun `a dead leader is replaced in two seconds, a released term at once`() = runTest {
+        val cluster = Cluster(this, 2)
+        val candidates = List(3) { cluster.boot("n$it") }
+        delay(3_000)
+        candidates.leader()?.job?.cancel()
+        delay(2_000)
+        val second = candidates.leader()
+        assertEquals(2, second?.election?.currentTerm?.term)
+        second?.election?.withdraw()
+        second?.election?.release()
+        delay(200)
+        assertEquals(3, candidates.leader()?.election?.currentTerm?.term)
+        assertNotEquals(second?.name, candidates.leader()?.name)
+        assertNull(second?.election?.currentTerm)
+    }
+
+    /** Guards against a takeover whose answer is lost and that nobody then leads. */
+    @Test
+    fun `a takeover without an answer is led once the row shows it`() = runTest {
+        val cluster = Cluster(this, 3)
+        cluster.store.faults.lostAnswers = 1.0
+        cluster.store.faults.lateByMs = 900
+        val candidate = cluster.boot("n0")
+        delay(1_000)
+        cluster.store.faults.lostAnswers = 0.0
+        delay(1_500)
+        assertNotNull(candidate.election.currentTerm)
+    }
+
+    /** Guards against a slow process that is asked to lead although the term has passed on meanwhile. */
+    @Test
+    fun `a handover of a former term is refused`() = runTest {
+        val cluster = Cluster(this, 4)
+        val candidates = List(2) { cluster.boot("n$it") }
+        delay(3_000)
+        val follower = candidates.first { it.election.currentTerm == null }
+        assertEquals(false, follower.election.takeOverFrom(99, "test", isOnlyCandidate = true))
+        assertEquals(true, follower.election.takeOverFrom(1, "test", isOnlyCandidate = true))
+    }
+}
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -10,6 +10,12 @@
 /** Gangs that keep room free for themselves at a time; more would leave too much of the fleet idle. */
 private const val MAX_WAITING_GANGS = 3
 
+/**
+ * Time for which a waiting gang keeps its place although it has become late; without it, room that it had half
+ * collected went to newer small tasks, and on a full fleet it never started.
+ */
+private const val RESERVATION_MS = 5_000L
+
 /** Weight of a worker's slowness against the share of its processors that would stay unused. */
 private const val SLOWNESS_WEIGHT = 4.0
 
@@ -185,6 +191,7 @@
             val couldFit = allowed.sumOf { step.room.countIn(it.entry.capacity).coerceAtMost(count).toLong() }
             if (couldFit < count || waitingGangs >= MAX_WAITING_GANGS) return
             waitingGangs++
+            step.reserve(now + RESERVATION_MS)
             var missing = count
             for (worker in allowed.sortedBy { fleet.speeds.slownessOf(it) }) {
                 if (missing <= 0) break
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
@@ -21,7 +21,7 @@
     val objectiveMs = dueMs + allowanceMs
     val endsMs = nowMs + job.remainingChainMs(step)
     val lateness = when {
-        step.description.isService -> Lateness.IN_TIME
+        step.description.isService || nowMs < (step.reservedUntilMs ?: Long.MIN_VALUE) -> Lateness.IN_TIME
         endsMs <= objectiveMs -> Lateness.IN_TIME
         endsMs <= dueMs + WORTHLESS_AFTER * allowanceMs -> Lateness.LATE
         else -> Lateness.WORTHLESS
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -14,6 +14,15 @@
     /** Runs of the gang in which a member failed. */
     private val failedGangRuns = HashSet<Long>()
 
+    /** Until this steady time a gang that is waiting for room keeps its place before work that comes later. */
+    var reservedUntilMs: Long? = null
+        private set
+
+    /** The gang begins to collect room; the reservation is not renewed, so that it cannot hold others up for ever. */
+    fun reserve(untilMs: Long) {
+        if (reservedUntilMs == null) reservedUntilMs = untilMs
+    }
+
     val isDone: Boolean get() = tasks.all { it.isDone }
     val hasStarted: Boolean get() = tasks.any { it.hasStarted }
 
--- /dev/null
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/HeavyDayTest.kt
@@ -0,0 +1,110 @@
+/** Patterns of heavy days: who waits, who goes first, and where work goes. */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.cluster.JobPhase
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+private const val GANG = "00000000000000aa"
+private const val URGENT = "00000000000000bb"
+
+class HeavyDayTest {
+    /** Guards against a wide gang that waits for ever, because small tasks take each piece of room that falls free. */
+    @Test
+    fun `a gang over a full fleet starts although small tasks keep coming`() = runTest {
+        val trial = SchedulerTrial(this, seed = 1, workerCount = 4)
+        trial.lead()
+        backgroundScope.launch { flood(trial) }
+        delay(3_000)
+        trial.submit(GANG, step(replicas = 4, cores = 15, durationMs = 1_000, isGang = true), priority = 1)
+        assertTrue(trial.awaitPhase(GANG, JobPhase.COMPLETED, withinMs = 12_000))
+        assertEquals(emptyList<String>(), trial.workers.judge.violations)
+    }
+
+    /** Guards against urgent work that waits behind a backlog of patient work. */
+    @Test
+    fun `an urgent job overtakes a backlog`() = runTest {
+        val trial = SchedulerTrial(this, seed = 2, workerCount = 4)
+        trial.lead()
+        repeat(60) { trial.submit(it.toString(16).padStart(16, '0'), step(4, 4, 1_500), priority = 2) }
+        delay(2_000)
+        trial.submit(URGENT, step(replicas = 2, cores = 4, durationMs = 500), priority = 0)
+        assertTrue(trial.awaitPhase(URGENT, JobPhase.COMPLETED, withinMs = 3_000))
+    }
+
+    /** Guards against poisoned jobs that run more often than allowed, or that hold up others. */
+    @Test
+    fun `jobs that always fail are given up after their attempts and hold up nobody`() = runTest {
+        val trial = SchedulerTrial(this, seed = 3, workerCount = 4)
+        trial.lead()
+        delay(500)
+        trial.workers.faults.failing += trial.workers.ids
+        trial.submit(GANG, step(replicas = 1, cores = 1, durationMs = 1_000), attempts = 3)
+        assertTrue(trial.awaitPhase(GANG, JobPhase.FAILED, withinMs = 10_000))
+        assertEquals(3, trial.workers.judge.starts)
+        trial.workers.faults.failing.clear()
+        trial.submit(URGENT, step(replicas = 2, cores = 4, durationMs = 500))
+        assertTrue(trial.awaitPhase(URGENT, JobPhase.COMPLETED, withinMs = 10_000))
+    }
+
+    /** Guards against failed runs that are counted short when their ends reach a new leader in any order (BUDGET). */
+    @Test
+    fun `failed runs count across a takeover`() = runTest {
+        val trial = SchedulerTrial(this, seed = 4, workerCount = 3)
+        trial.lead()
+        delay(500)
+        trial.workers.faults.failing += trial.workers.ids
+        trial.submit(GANG, step(replicas = 1, cores = 1, durationMs = 1_000), attempts = 3)
+        delay(300)
+        // No end can be acknowledged while the store is down, so the next leader hears of all failures at once.
+        trial.store.faults.isDown = true
+        delay(2_000)
+        trial.stopLeader()
+        trial.store.faults.isDown = false
+        trial.lead()
+        assertTrue(trial.awaitPhase(GANG, JobPhase.FAILED, withinMs = 10_000))
+        assertEquals(3, trial.workers.judge.starts)
+    }
+
+    /** Guards against a cancelled job that goes on, also when the cancellation comes before the job. */
+    @Test
+    fun `cancelled jobs stop`() = runTest {
+        val trial = SchedulerTrial(this, seed = 5, workerCount = 3)
+        trial.lead()
+        trial.submit(GANG, step(replicas = 6, cores = 4, durationMs = 60_000))
+        delay(1_000)
+        trial.cancel(GANG)
+        trial.cancel(URGENT)
+        delay(500)
+        trial.submit(URGENT, step(replicas = 1, cores = 1, durationMs = 60_000))
+        assertTrue(trial.awaitPhase(GANG, JobPhase.CANCELLED, withinMs = 3_000))
+        assertTrue(trial.awaitPhase(URGENT, JobPhase.CANCELLED, withinMs = 3_000))
+    }
+
+    /** Guards against older jobs that all wait for a dark worker after a takeover, though its tasks are known. */
+    @Test
+    fun `a takeover beside a dark worker holds up only the jobs that may run there`() = runTest {
+        val trial = SchedulerTrial(this, seed = 6, workerCount = 3)
+        trial.lead()
+        delay(500)
+        trial.workers.faults.cutOff += "w0"
+        delay(3_000)
+        trial.submit(GANG, step(replicas = 1, cores = 1, durationMs = 300))
+        trial.stopLeader()
+        delay(100)
+        trial.lead()
+        assertTrue(trial.awaitPhase(GANG, JobPhase.COMPLETED, withinMs = 2_000))
+    }
+
+    private suspend fun flood(trial: SchedulerTrial) {
+        var number = 0
+        while (true) {
+            trial.submit((number++).toString(16).padStart(16, '0'), step(3, 3, 1_200), priority = 1)
+            delay(120)
+        }
+    }
+}
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/SchedulerTrial.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/SchedulerTrial.kt
@@ -3,6 +3,8 @@
  *
  * The workers' own record judges whether a task ran twice at a time or a worker held more than fits.
  */
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.Resources
@@ -24,6 +26,7 @@
 import dev.bronzeshore.standins.cluster.StoreStandIn
 import dev.bronzeshore.standins.cluster.TaskModel
 import dev.bronzeshore.standins.cluster.WorkersStandIn
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/SchedulerTrialTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/SchedulerTrialTest.kt
@@ -1,4 +1,4 @@
-/** Seeded runs of leaders with faults: no task runs twice at a time, no worker is overfilled, and all work gets done. */
+/** Seeded runs of leaders with faults: no task runs twice, no worker is overfilled, and all work gets done. */
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.JobPhase
@@ -51,7 +51,8 @@
     private fun submitRandom(trial: SchedulerTrial, number: Int) {
         val random = trial.random
         val id = number.toString(16).padStart(16, '0')
-        val first = step(random.nextInt(1, 6), random.nextInt(1, 6), random.nextLong(100, 2_000), random.nextInt(3) == 0)
+        val first =
+            step(random.nextInt(1, 6), random.nextInt(1, 6), random.nextLong(100, 2_000), random.nextInt(3) == 0)
         val second = step(random.nextInt(1, 4), random.nextInt(1, 4), random.nextLong(100, 1_000), after = listOf(0))
         if (random.nextBoolean()) trial.submit(id, first) else trial.submit(id, first, second)
         if (random.nextInt(20) == 0) trial.cancel(id)
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ClusterSettingsFileTest.kt
@@ -0,0 +1,39 @@
+/** Settings of a process on the platform, valid and faulty. */
+package dev.bronzeshore.server.cluster
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.nio.file.Files
+import java.nio.file.Path
+
+class ClusterSettingsFileTest {
+    private val template = Files.readString(Path.of("../deploy/settings.json"))
+
+    /** Replaces each placeholder of the template as the platform does. */
+    private fun rendered(address: String): String = Regex("\\{\\{([^}|]+)(\\|json)?}}").replace(template) { match ->
+        val isText = match.groupValues[2].isNotEmpty()
+        when {
+            "addr" in match.groupValues[1] && isText -> "\"$address\""
+            "address" in match.groupValues[1] || match.groupValues[1] == "hint" -> "\"$address\""
+            isText -> "\"name\""
+            "ip_addr" == match.groupValues[1] -> "10.0.0.1"
+            else -> "5"
+        }
+    }
+
+    /** Guards against a template that the process cannot read. */
+    @Test
+    fun `reads the template of the deployment`() {
+        val settings = readClusterSettings(rendered("10.0.0.1:80"))
+        assertEquals(5, settings.getOrNull()?.peers?.port)
+        assertEquals(5_000L, settings.getOrNull()?.bounds?.stopSignalGraceMs)
+    }
+
+    /** Guards against faults that are reported one by one. */
+    @Test
+    fun `lists all faults at once`() {
+        val faults = readClusterSettings(rendered("nowhere")).swap().getOrNull().orEmpty()
+        assertTrue(faults.size >= 3, faults.toString())
+    }
+}
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
@@ -112,8 +112,10 @@
             if (afterVersion < faults.historyFrom) return ReadFailure.HistoryGone.left()
             val changed = historyOfTable[table].orEmpty().takeLastWhile { it.version > afterVersion }
             if (changed.isNotEmpty() || waitedMs >= waitMs) {
+                // Rows that are written while the answer is on its way belong to the next page.
+                val page = ChangePage(changed, version)
                 delay(faults.latencyMs)
-                return ChangePage(changed, version).right()
+                return page.right()
             }
             delay(FEED_POLL_MS)
             waitedMs += FEED_POLL_MS
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -45,7 +45,14 @@
     /** Starts a worker, or a new life of one that has crashed. */
     public fun boot(workerId: String) {
         val entry = WorkerEntry(
-            WorkerLife(workerId, clock() + 1), service, "$workerId:1", "dc", false, capacity, emptySet(), null,
+            WorkerLife(workerId, clock() + 1),
+            service,
+            "$workerId:1",
+            "dc",
+            false,
+            capacity,
+            emptySet(),
+            null,
         )
         workers[workerId] = WorkerModel(entry, clock, faults, judge)
         onChange(WorkerChange(workerId, entry))
