Leave slow runs alone again

Ruled out: lost answers of workers (2 stops) and gangs (none of the stops).

Change: the rule is removed; runs without any progress are still restarted.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SpeedBook.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SpeedBook.kt
@@ -27,9 +27,6 @@
         worker.speed.correct(error)
     }
 
-    /** Typical run time of a task with the given estimate; null before the queue's first observation. */
-    fun typicalMs(queue: String, estimateMs: Long): Double? = logRatioOfQueue[queue]?.let { exp(it) * estimateMs }
-
     /** Run time on [worker] relative to a typical one. */
     fun slownessOf(worker: TrackedWorker): Double = exp(worker.speed.logSlowness)
 
