--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/PlannerPartsTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/PlannerPartsTest.kt
@@ -6,6 +6,7 @@
 import dev.bronzeshore.core.cluster.AdviceTicket
 import dev.bronzeshore.core.cluster.JobDescription
 import dev.bronzeshore.core.cluster.QueueTerms
+import dev.bronzeshore.core.cluster.StepDescription
 import dev.bronzeshore.core.cluster.TaskRun
 import dev.bronzeshore.core.cluster.WorkerEntry
 import dev.bronzeshore.core.cluster.WorkerLife
@@ -20,11 +21,14 @@
 import kotlin.math.exp
 import kotlin.random.Random
 
+private const val SERVICE = "service"
+private val WORKER_CAPACITY = Resources(16_000, 32_000)
+
 class PlannerPartsTest {
     private fun job(id: String, priority: Int, estimateMs: Long, acceptedAtMs: Long): TrackedJob {
         val terms = QueueTerms("q$priority", SERVICE, priority, 3, 2.0, 500)
         return TrackedJob(
-            AcceptedJob(id, JobDescription("", listOf(step(1, 1, estimateMs))), terms, 0),
+            AcceptedJob(id, JobDescription("", listOf(StepDescription(1, Resources(1_000, 1), estimateMs))), terms, 0),
             1,
             acceptedAtMs,
         )
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClassRecording.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClassRecording.kt
@@ -38,6 +38,7 @@
 
 /** Time in which the process loads what it needs; its calls all fail, because there is no platform. */
 private const val RUN_MS = 2_500L
+private const val PORTS = 4
 private const val LOOPBACK = "127.0.0.1"
 
 internal fun recordClasses(): Nothing {
@@ -55,7 +56,7 @@
 }
 
 private fun loopbackSettings(): ClusterSettings {
-    val ports = List(4) { ServerSocket(0) }.map { socket -> socket.use { it.localPort } }
+    val ports = List(PORTS) { ServerSocket(0) }.map { socket -> socket.use { it.localPort } }
     val addresses = ports.map { ListenAddress(LOOPBACK, it) }
     return ClusterSettings(
         processName = "record-classes",
@@ -63,12 +64,20 @@
         callers = addresses[0],
         readiness = addresses[1],
         peers = addresses[2],
-        metrics = addresses[3],
+        metrics = addresses.last(),
         // Its own ports answer in place of the platform's store and advice service.
         storeAddress = "$LOOPBACK:${ports[0]}",
         adviceAddress = "$LOOPBACK:${ports[0]}",
         processorShare = 1.0,
-        bounds = ClusterBounds(6_000, 900, 3_000, 6_000, 120_000, 250, 1.5),
+        bounds = ClusterBounds(
+            maxLeaseMs = 6_000,
+            stopGraceMs = 900,
+            gangWaitMs = 3_000,
+            stopSignalGraceMs = 6_000,
+            statusRetentionMs = 120_000,
+            earlyStartMs = 250,
+            remoteFactor = 1.5,
+        ),
     )
 }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterRunner.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterRunner.kt
@@ -31,6 +31,7 @@
         Runtime.getRuntime().halt(EXIT_FAILED)
     }
     val scope = CoroutineScope(SupervisorJob() + control + failed)
+    onReloadSignal { logReload(file, settings, log) }
     val process = ClusterProcess(settings, control, Dispatchers.IO, scope)
     Runtime.getRuntime().addShutdownHook(
         Thread {
@@ -44,6 +45,15 @@
     }
 }
 
+/** Changed settings take effect with the next start; all of them name this machine or its bounds. */
+private fun logReload(file: String, inForce: ClusterSettings, log: EventLog) {
+    val outcome = Either.catch { readClusterSettings(Files.readString(Path.of(file))) }.fold(
+        ifLeft = { "unreadable: ${it.message}" },
+        ifRight = { read -> read.fold({ "faulty: $it" }, { if (it == inForce) "unchanged" else "changed" }) },
+    )
+    log.event("reload", "outcome" to outcome)
+}
+
 private fun loadSettings(file: String): ClusterSettings =
     when (val settings = readClusterSettings(Files.readString(Path.of(file)))) {
         is Either.Right -> settings.value
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/HeavyDayTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
@@ -1,5 +1,5 @@
 /** Patterns of heavy days: who waits, who goes first, and where work goes. */
-package dev.bronzeshore.scheduler
+package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.JobPhase
 import kotlinx.coroutines.delay
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaderElectionTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderElectionTest.kt
@@ -1,9 +1,11 @@
 /** Elections of several processes over one store with faults, on virtual time. */
 @file:OptIn(ExperimentalCoroutinesApi::class)
 
-package dev.bronzeshore.leadership
+package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.leadership.LeaderElection
+import dev.bronzeshore.leadership.LeaderEvents
 import dev.bronzeshore.standins.cluster.StoreStandIn
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/SchedulerTrial.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerTrial.kt
@@ -5,7 +5,7 @@
  */
 @file:OptIn(ExperimentalCoroutinesApi::class)
 
-package dev.bronzeshore.scheduler
+package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.cluster.AcceptedJob
@@ -22,6 +22,10 @@
 import dev.bronzeshore.core.cluster.WorkerEntry
 import dev.bronzeshore.core.cluster.decodeRow
 import dev.bronzeshore.core.cluster.encodeRow
+import dev.bronzeshore.scheduler.LeaderDependencies
+import dev.bronzeshore.scheduler.LeaderTermRunner
+import dev.bronzeshore.scheduler.SchedulerMetrics
+import dev.bronzeshore.scheduler.TermRenewal
 import dev.bronzeshore.standins.cluster.MAX_LEASE_MS
 import dev.bronzeshore.standins.cluster.StoreStandIn
 import dev.bronzeshore.standins.cluster.TaskModel
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/SchedulerTrialTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerTrialTest.kt
@@ -1,5 +1,5 @@
 /** Seeded runs of leaders with faults: no task runs twice, no worker is overfilled, and all work gets done. */
-package dev.bronzeshore.scheduler
+package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.JobPhase
 import kotlinx.coroutines.delay
--- a/intake/src/test/kotlin/dev/bronzeshore/intake/StoreDeskTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreDeskTest.kt
@@ -1,7 +1,7 @@
 /** Submissions, states and cancellations over a store with faults. */
 @file:OptIn(ExperimentalCoroutinesApi::class)
 
-package dev.bronzeshore.intake
+package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.cluster.AcceptedJob
@@ -15,6 +15,7 @@
 import dev.bronzeshore.core.cluster.SubmitAnswer
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.encodeRow
+import dev.bronzeshore.intake.createStoreDesk
 import dev.bronzeshore.standins.cluster.StoreStandIn
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
