Write the roster again after a write without an answer

Cause: while the store was silent for the leader, a write that named the jobs of a silent worker got no answer but took effect.

Change: after an unknown outcome the roster counts as not stored and is written again before tasks start by it.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -89,6 +89,8 @@
             return true
         }
         context.changes.putBack(batch)
+        // The store may hold the roster that was sent: it has to be written again before tasks start by an older one.
+        if (roster != null && outcome is StoreOutcome.Unknown) savedRoster = emptySet()
         context.log.event("journal_failed", "jobs" to batch.jobs.size, "outcome" to outcome::class.simpleName)
         if (outcome is StoreOutcome.Conflict) deposed()
         return false
