Read jobs that a worker names before the feed brings them

A leader without the store handed over and went on. It heard of a new job by an announcement and started it. The new leader saw the runs in a worker's report 1 ms before the change feed brought the job: it took them for unwanted, ordered their stop, and started the tasks elsewhere before they had ended. An end of such a run would have been acknowledged without effect, so that the task had run again after its end.

Ruled out: the roster (the leader had asked all workers), late orders (the first run started before the contact).

Change: a report that names an unknown job is taken in only after its rows have been read. A task does not start while one of its runs waits to be stopped. A leader ends its term when a worker's fence shows a newer one, or when the process that it asked to lead does so; before, it asked the store, which did not serve it. A process that holds a former term no longer claims a handover.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
@@ -84,16 +84,19 @@
     /**
      * Takes over although the leader has not fallen silent: it is known to be dead, or it has asked for it.
      *
-     * Returns true if this process leads afterwards.
+     * Returns true if this process leads a newer term afterwards.
      */
     public suspend fun takeOverFrom(term: Long, reason: String, isOnlyCandidate: Boolean): Boolean {
-        if (held != null || isStopping) return held != null
+        if (held != null || isStopping) return leadsAfter(term)
         log.event("takeover_wanted", "term" to term, "reason" to reason)
         if (!isOnlyCandidate) delay(spreadMs())
         takeOver { view.term?.term == term }
-        return held != null
+        return leadsAfter(term)
     }
 
+    /** A process that was cut off may still hold a term before [term], which is no takeover. */
+    private fun leadsAfter(term: Long): Boolean = held?.let { it.term > term } ?: false
+
     /** Follows the leader until cancelled. */
     public suspend fun run() {
         while (!readAll()) delay(RETRY_MS)
@@ -115,11 +118,6 @@
         stepDown(term)
     }
 
-    /** Another process may lead: confirms the own term at once or steps down. */
-    public suspend fun confirm() {
-        if (held != null) beat()
-    }
-
     private var feedVersion = 0L
 
     private suspend fun readAll(): Boolean {
@@ -233,7 +231,7 @@
         return RowWrite(Tables.BEAT_ROW, encodeRow(BeatRow.serializer(), row))
     }
 
-    /** Ends the own term; called as well when another write of the leader met a newer term. */
+    /** Ends the own term; called as well when a worker's fence or another process has shown a newer one. */
     public suspend fun stepDown(term: LeaderTerm) {
         if (held != term) return
         held = null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Fleet.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Fleet.kt
@@ -1,6 +1,8 @@
 /** All workers that the leader knows, by life. Not thread-safe. */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.TaskName
+import dev.bronzeshore.core.cluster.TaskRun
 import dev.bronzeshore.core.cluster.WorkerEntry
 import dev.bronzeshore.core.cluster.WorkerLife
 
@@ -20,6 +22,9 @@
 
     fun livesOf(workerId: String): List<TrackedWorker> = byLife.values.filter { it.id == workerId }
 
+    /** Tasks with a run on some worker that is to be stopped: another run must wait for its end. */
+    fun tasksWithStrayRuns(): Set<TaskName> = byLife.values.flatMapTo(HashSet()) { it.strayRuns.map(TaskRun::task) }
+
     /** Workers of a service that take new tasks now. */
     fun accepting(service: String, nowMs: Long): List<TrackedWorker> =
         byLife.values.filter { it.entry.service == service && it.accepts(nowMs) }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -50,8 +50,8 @@
     public val adviceCallers: () -> List<AdviceCaller>,
     public val workerTable: String,
     public val decodeWorker: (StoredRow) -> WorkerChange,
-    /** Confirms that this process still leads, or steps down. */
-    public val confirmTerm: suspend () -> Unit,
+    /** Ends the term: a fence of a worker or the term row in the store has shown that another process leads. */
+    public val onDeposed: suspend () -> Unit,
 )
 
 /** One term; [run] returns only by cancellation. */
@@ -69,8 +69,9 @@
         val stopper = RunStopper(context)
         val lifecycle = JobLifecycle(context, stopper)
         val quarantine = Quarantine(context)
-        val registry = WorkerRegistry(context, ReportHandler(context, lifecycle, stopper, quarantine), lifecycle)
-        val journal = ProgressJournal(context, dependencies.confirmTerm)
+        val reports = ReportHandler(context, lifecycle, stopper, quarantine)
+        val registry = WorkerRegistry(context, reports, lifecycle, JobLookup(context, lifecycle))
+        val journal = ProgressJournal(context)
         val recovery = Recovery(context, dependencies, lifecycle, registry, journal)
         val planner = Planner(context, recovery::mayStart)
         val starter = TaskStarter(context, stopper)
@@ -109,7 +110,7 @@
 
     private fun newContext(scope: CoroutineScope) = TermContext(
         term, termRowVersion, dependencies.store, dependencies.calls, dependencies.bounds, dependencies.clock,
-        dependencies.timeOfDay, scope, dependencies.metrics, dependencies.renewal, dependencies.confirmTerm,
+        dependencies.timeOfDay, scope, dependencies.metrics, dependencies.renewal, dependencies.onDeposed,
     )
 
     private suspend fun followIntake(lifecycle: JobLifecycle, fromVersion: Long) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -83,12 +83,13 @@
     private inner class Round(private val now: Long) {
         private val room = RoomView()
         private val eligibleByService = HashMap<String, List<TrackedWorker>>()
+        private val tasksWithStrayRuns = fleet.tasksWithStrayRuns()
         private var waitingGangs = 0
         val starts = ArrayList<PlannedStart>()
         val adviceNeeded = ArrayList<TrackedStep>()
 
         fun place(step: TrackedStep) {
-            val tasks = step.pendingTasks.filter { it.notBeforeMs <= now }
+            val tasks = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
             if (tasks.isEmpty() || step.description.isGang && tasks.size < step.tasks.size) return
             val workers = workersFor(step)
             if (step.job.terms.advice != null && workers.any { !step.advice.isAsked(it.id) } && !step.advice.isKnown) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -32,7 +32,7 @@
 private const val SPEEDS_EVERY_MS = 2_000L
 private const val RETRY_MS = 100L
 
-internal class ProgressJournal(private val context: TermContext, private val deposed: suspend () -> Unit) {
+internal class ProgressJournal(private val context: TermContext) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private var savedCounts: Map<String, Int>? = null
     private var countsAtMs = Long.MIN_VALUE / 2
@@ -92,7 +92,7 @@
         // The store may hold the roster that was sent: it has to be written again before tasks start by an older one.
         if (roster != null && outcome is StoreOutcome.Unknown) savedRoster = emptySet()
         context.log.event("journal_failed", "jobs" to batch.jobs.size, "outcome" to outcome::class.simpleName)
-        if (outcome is StoreOutcome.Conflict) deposed()
+        if (outcome is StoreOutcome.Conflict) context.onDeposed()
         return false
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -31,8 +31,8 @@
     val scope: CoroutineScope,
     val metrics: SchedulerMetrics,
     val renewal: TermRenewal,
-    /** A worker or the store has shown that another process may lead. */
-    val onDoubt: suspend () -> Unit,
+    /** A fence of a worker or the term row in the store has shown that another process leads. */
+    val onDeposed: suspend () -> Unit,
 ) {
     val log = EventLog("scheduler")
     val fleet = Fleet()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -18,6 +18,7 @@
     private val context: TermContext,
     private val reports: ReportHandler,
     private val lifecycle: JobLifecycle,
+    private val jobs: JobLookup,
 ) {
     private val startedAtMs = context.clock()
 
@@ -99,7 +100,7 @@
             "started_at_ms" to worker.life.startedAtMs,
             "address" to entry.address,
         )
-        val session = WorkerSession(context, worker, reports, ::reborn)
+        val session = WorkerSession(context, worker, reports, jobs, ::reborn)
         worker.probe = session::probe
         context.scope.launch { session.run() }
         context.wakeJournal()
@@ -133,6 +134,7 @@
             worker.placements.toList().forEach {
                 lifecycle.lost(it, "its lease is over and its worker does not answer")
             }
+            worker.strayRuns.toList().forEach { worker.removeStray(it) }
             if (!worker.isListed) end(worker, "the worker is not listed and does not answer")
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -16,6 +16,9 @@
 /** Wait of a look at a worker that lists ends which cannot be acknowledged yet: such a look returns at once. */
 private const val UNSAVED_PAUSE_MS = 60L
 
+/** Pause before a worker that named an unknown job is asked again; the store may not have answered. */
+private const val LOOKUP_PAUSE_MS = 20L
+
 /** Pause before an unreachable worker is tried again. */
 private const val RETRY_MS = 150L
 
@@ -26,6 +29,7 @@
     private val context: TermContext,
     private val worker: TrackedWorker,
     private val reports: ReportHandler,
+    private val jobs: JobLookup,
     /** Called when the worker names a later start than the one that the leader knows. */
     private val onReborn: (TrackedWorker, startedAtMs: Long) -> Unit,
 ) {
@@ -36,11 +40,10 @@
         val requestedAtMs = context.clock()
         context.metrics.look()
         when (val answer = context.calls.hold(worker.entry, orderAt(requestedAtMs).copy(waitMs = 0))) {
-            is HoldAnswer.Report -> if (answer.startedAtMs ==
-                worker.life.startedAtMs
-            ) {
+            is HoldAnswer.Report -> if (answer.startedAtMs == worker.life.startedAtMs && jobs.knowsJobsOf(answer)) {
                 reports.handle(worker, answer, requestedAtMs)
             }
+
             else -> worker.markUnreachable()
         }
         worker.isSuspect = false
@@ -57,7 +60,7 @@
 
                 is HoldAnswer.Fenced -> {
                     context.log.event("fenced", "worker" to worker.id, "term" to context.term)
-                    context.onDoubt()
+                    context.onDeposed()
                     delay(RETRY_MS)
                 }
 
@@ -83,6 +86,7 @@
             return delay(RETRY_MS)
         }
         failures = 0
+        if (!jobs.knowsJobsOf(report)) return delay(LOOKUP_PAUSE_MS)
         reports.handle(worker, report, requestedAtMs)
         if (worker.unsavedEnds.isNotEmpty()) delay(UNSAVED_PAUSE_MS)
     }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -83,7 +83,7 @@
         LeaderEvents(
             gained = ::startTerm,
             lost = { endTerm() },
-            storeLost = { lost -> scope.launch(control) { leaderLink.handOver(lost.term) } },
+            storeLost = { term -> scope.launch(control) { passOn(term) } },
         ),
     )
     private val leaderLink: LeaderLink by lazy { LeaderLink(ownRow, election, { directory.peers }, peerCaller) }
@@ -134,10 +134,14 @@
     /** Leads on until another process has taken over; only without one is the term released unasked. */
     private suspend fun passOnLeadership() {
         election.withdraw()
-        election.currentTerm?.let { leaderLink.handOver(it.term) }
+        election.currentTerm?.let { passOn(it) }
         election.release()
     }
 
+    private suspend fun passOn(term: LeaderTerm) {
+        if (leaderLink.handOver(term.term)) election.stepDown(term)
+    }
+
     private fun candidateDelayMs(): Long = (
         (LARGEST_PROCESSOR_SHARE - settings.processorShare).coerceAtLeast(
             0.0,
@@ -146,7 +150,7 @@
 
     private suspend fun startTerm(won: LeaderTerm) {
         endTerm()
-        val started = LeaderTermRunner(dependencies(), won.term, won.termRowVersion)
+        val started = LeaderTermRunner(dependencies(won), won.term, won.termRowVersion)
         runner = started
         term = scope.launch(control) { started.run() }
     }
@@ -157,7 +161,7 @@
         term = null
     }
 
-    private fun dependencies() = LeaderDependencies(
+    private fun dependencies(won: LeaderTerm) = LeaderDependencies(
         store = store,
         calls = platform.workers,
         bounds = settings.bounds,
@@ -168,7 +172,7 @@
         adviceCallers = ::adviceCallers,
         workerTable = PlatformLink.WORKER_TABLE,
         decodeWorker = PlatformLink::workerIn,
-        confirmTerm = { scope.launch(control) { election.confirm() } },
+        onDeposed = { scope.launch(control) { election.stepDown(won) } },
     )
 
     private fun adviceCallers(): List<AdviceCaller> {
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
@@ -85,24 +85,24 @@
         if (leader.processName != own.processName) calls.call(leader.node(), ANNOUNCE_CALL, job, STATE_TIMEOUT_MS)
     }
 
-    /** Asks other processes to lead, because the store does not serve this one. */
-    suspend fun handOver(term: Long) {
-        if (isHandingOver) return awaitHandover()
+    /** Asks other processes to lead, because the store does not serve this one; true if one of them leads now. */
+    suspend fun handOver(term: Long): Boolean {
+        if (isHandingOver) {
+            while (isHandingOver) delay(RETRY_MS)
+            return false
+        }
         isHandingOver = true
         try {
             for (peer in peers().shuffled(Random)) {
-                if (election.currentTerm?.term != term) return
+                if (election.currentTerm?.term != term) return false
                 val reply = calls.call(peer, HANDOVER_CALL, HandoverRequest(term), HANDOVER_TIMEOUT_MS)
                 log.event("handover", "term" to term, "peer" to peer.processName, "taken" to reply?.isTaken)
-                if (reply?.isTaken == true) return
+                if (reply?.isTaken == true) return true
             }
         } finally {
             isHandingOver = false
         }
-    }
-
-    private suspend fun awaitHandover() {
-        while (isHandingOver) delay(RETRY_MS)
+        return false
     }
 
     private fun KnownLeader.node() = NodeRow(processName, "", peerAddress)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderElectionTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderElectionTest.kt
@@ -125,4 +125,17 @@
         assertEquals(false, follower.election.takeOverFrom(99, "test", isOnlyCandidate = true))
         assertEquals(true, follower.election.takeOverFrom(1, "test", isOnlyCandidate = true))
     }
+
+    /** Guards against a handover to a process that was cut off and still holds a term before the one handed over. */
+    @Test
+    fun `a process that holds a former term does not take a handover`() = runTest {
+        val cluster = Cluster(this, 5)
+        val candidates = List(2) { cluster.boot("n$it") }
+        delay(3_000)
+        val former = candidates.first { it.election.currentTerm != null }
+        val next = candidates.first { it !== former }
+        cluster.store.faults.refusedCallers += former.name
+        assertEquals(true, next.election.takeOverFrom(1, "test", isOnlyCandidate = true))
+        assertEquals(false, former.election.takeOverFrom(2, "test", isOnlyCandidate = true))
+    }
 }
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
@@ -0,0 +1,126 @@
+/** Patterns of takeovers: what a new leader finds at the workers, in the store, and of a leader that goes on. */
+package dev.bronzeshore.server.cluster
+
+import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.Tables
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+private const val JOB = "00000000000000aa"
+
+class TakeoverTest {
+    /** Guards against failed runs that are counted short when their ends reach a new leader in any order (BUDGET). */
+    @Test
+    fun `failed runs count across a takeover`() = runTest {
+        val trial = SchedulerTrial(this, seed = 4, workerCount = 3)
+        trial.lead()
+        delay(500)
+        trial.workers.faults.failing += trial.workers.ids
+        trial.submit(JOB, step(replicas = 1, cores = 1, durationMs = 1_000), attempts = 3)
+        delay(300)
+        // No end can be acknowledged while the store is down, so the next leader hears of all failures at once.
+        trial.store.faults.isDown = true
+        delay(2_000)
+        trial.stopLeader()
+        trial.store.faults.isDown = false
+        trial.lead()
+        assertTrue(trial.awaitPhase(JOB, JobPhase.FAILED, withinMs = 10_000))
+        assertEquals(3, trial.workers.judge.starts)
+    }
+
+    /** Guards against older jobs that all wait for a dark worker after a takeover, though its tasks are known. */
+    @Test
+    fun `a takeover beside a dark worker holds up only the jobs that may run there`() = runTest {
+        val trial = SchedulerTrial(this, seed = 6, workerCount = 3)
+        trial.lead()
+        delay(500)
+        trial.workers.faults.cutOff += "w0"
+        delay(3_000)
+        trial.submit(JOB, step(replicas = 1, cores = 1, durationMs = 300))
+        trial.stopLeader()
+        delay(100)
+        trial.lead()
+        assertTrue(trial.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 2_000))
+    }
+
+    /** Guards against a new job that a former leader, which has not noticed the takeover, starts as well (TWICE). */
+    @Test
+    fun `a job that two leaders learn of runs once`() = runTest {
+        val trial = SchedulerTrial(this, seed = 7, workerCount = 4)
+        trial.lead()
+        delay(2_000)
+        trial.lead(lookDelayMs = { if (it == "w0") 800 else 0 })
+        trial.submit(JOB, step(replicas = 12, cores = 4, durationMs = 1_500))
+        assertTrue(trial.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 12_000))
+        assertEquals(emptyList<String>(), trial.workers.judge.violations)
+    }
+
+    data class FormerStart(val name: String, val durationMs: Long, val lookDelayMs: Long) {
+        override fun toString() = name
+    }
+
+    /**
+     * Guards against a task that runs twice because a new leader hears of its run from a worker before it hears of
+     * the job: the run was stopped and started elsewhere at once, or its end was acknowledged without effect (TWICE).
+     */
+    @ParameterizedTest
+    @MethodSource("formerStarts")
+    fun `a job that a worker names before the feed runs once`(case: FormerStart) = runTest {
+        val trial = SchedulerTrial(this, seed = 8, workerCount = 4)
+        trial.lead()
+        delay(2_000)
+        trial.store.faults.lateFeedsMs["leader-2"] = 900
+        trial.lead(lookDelayMs = { case.lookDelayMs })
+        delay(100)
+        trial.submit(JOB, step(replicas = 6, cores = 4, durationMs = case.durationMs))
+        assertTrue(trial.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 12_000))
+        assertEquals(emptyList<String>(), trial.workers.judge.violations)
+        assertEquals(6, trial.workers.judge.starts)
+    }
+
+    /**
+     * Guards against a roster that is taken for not stored because its write got no answer: it said that no job was
+     * on a dark worker, and a later leader started tasks of that worker elsewhere (TWICE).
+     */
+    @Test
+    fun `a roster write without an answer counts as stored`() = runTest {
+        val trial = SchedulerTrial(this, seed = 9, workerCount = 2)
+        trial.lead()
+        delay(2_000)
+        trial.store.faults.lostAnswers = 1.0
+        val rosterVersion = trial.rosterVersion()
+        trial.workers.faults.cutOff += "w0"
+        trial.awaitThat { trial.rosterVersion() != rosterVersion }
+        trial.workers.faults.cutOff.clear()
+        // The next look at the worker waits this long for an end; answers are lost until the worker is back.
+        delay(2_500)
+        trial.store.faults.lostAnswers = 0.0
+        trial.submit(JOB, step(replicas = 4, cores = 8, durationMs = 6_000))
+        trial.awaitThat { trial.workers.judge.starts == 4 }
+        trial.workers.faults.cutOff += "w0"
+        trial.stopLeader()
+        trial.workers.boot("w2")
+        trial.lead()
+        delay(3_000)
+        trial.workers.faults.cutOff.clear()
+        assertTrue(trial.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 12_000))
+        assertEquals(emptyList<String>(), trial.workers.judge.violations)
+    }
+
+    private fun SchedulerTrial.rosterVersion() = store.rowsOf(Tables.LEADER_NOTES).first {
+        it.id == Tables.ROSTER_ROW
+    }.version
+
+    companion object {
+        @JvmStatic
+        fun formerStarts(): List<FormerStart> = listOf(
+            FormerStart("a run that is found at work", durationMs = 1_500, lookDelayMs = 200),
+            FormerStart("a run that is found done", durationMs = 100, lookDelayMs = 400),
+        )
+    }
+}
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
@@ -8,6 +8,9 @@
     /** Callers that are refused although the store serves others. */
     public val refusedCallers: MutableSet<String> = HashSet()
 
+    /** Callers whose change feeds answer later by this time. */
+    public val lateFeedsMs: MutableMap<String, Long> = HashMap()
+
     /** Time that each call takes. */
     public var latencyMs: Long = 4
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
@@ -114,7 +114,7 @@
             if (changed.isNotEmpty() || waitedMs >= waitMs) {
                 // Rows that are written while the answer is on its way belong to the next page.
                 val page = ChangePage(changed, version)
-                delay(faults.latencyMs)
+                delay(faults.latencyMs + (faults.lateFeedsMs[caller] ?: 0))
                 return page.right()
             }
             delay(FEED_POLL_MS)
