Let strong machines lead, and tell a busy leader from a dead one

Others took its term ("the leader's port is closed") although it lived: announcements that it answered late ended the connection that the watch shared, and the second try met the next one.

Change: leaders come in the order of their processors and links, for candidates as for handovers; a handover asks the next process after 400 ms. A late renewal leads to a handover only if the store has not answered otherwise. The watch has connections of its own.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/ClusterSettings.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/ClusterSettings.kt
@@ -33,5 +33,7 @@
     public val adviceAddress: String?,
     /** Processors of this machine, as a number of whole ones. */
     public val processorShare: Double,
+    /** Bandwidth of this machine's link, in megabits a second. */
+    public val linkMbps: Double,
     public val bounds: ClusterBounds,
 )
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -52,4 +52,10 @@
 
 /** A process and where its peers reach it. */
 @Serializable
-public data class NodeRow(public val processName: String, public val bootId: String, public val peerAddress: String)
+public data class NodeRow(
+    public val processName: String,
+    public val bootId: String,
+    public val peerAddress: String,
+    /** How much of a leader's work the machine can carry, in processors; a narrow link counts as few processors. */
+    public val leaderCapacity: Double = 0.0,
+)
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreDesk.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreDesk.kt
@@ -48,18 +48,25 @@
     suspend fun submit(job: AcceptedJob): SubmitAnswer = writers.getValue(Tables.intakePartOf(job.jobId)).submit(job)
 
     suspend fun stateOf(jobId: String): StateAnswer {
-        val progress = rowsOf(Tables.PROGRESS, Tables.LEADER_PART, jobId) ?: return StateAnswer.Unavailable
-        progress.firstOrNull { it.id.key == jobId }?.value?.let { value ->
-            return StateAnswer.Found(decodeRow(JobProgress.serializer(), value).phase)
-        }
+        val progress = progressOf(jobId)
+        if (progress != StateAnswer.NoSuchJob) return progress
         val intake = rowsOf(Tables.INTAKE, Tables.intakePartOf(jobId), jobId) ?: return StateAnswer.Unavailable
         return when {
-            intake.none { it.id.key == jobId } -> StateAnswer.NoSuchJob
+            // The job may have ended since the first look, and its accepted row may have been deleted.
+            intake.none { it.id.key == jobId } -> progressOf(jobId)
+
             intake.any { Tables.cancelledJobOf(it.id.key) != null } -> StateAnswer.Found(JobPhase.CANCELLED)
+
             else -> StateAnswer.Found(JobPhase.PENDING)
         }
     }
 
+    private suspend fun progressOf(jobId: String): StateAnswer {
+        val rows = rowsOf(Tables.PROGRESS, Tables.LEADER_PART, jobId) ?: return StateAnswer.Unavailable
+        val value = rows.firstOrNull { it.id.key == jobId }?.value ?: return StateAnswer.NoSuchJob
+        return StateAnswer.Found(decodeRow(JobProgress.serializer(), value).phase)
+    }
+
     private suspend fun rowsOf(table: String, part: String, jobId: String): List<StoredRow>? =
         store.readPage(Tables.rowsOfJob(table, part, jobId)).fold(
             ifLeft = { failure ->
--- /dev/null
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/CandidateOrder.kt
@@ -0,0 +1,38 @@
+/**
+ * Which processes offer themselves first as leader.
+ *
+ * A new leader reads the tables of all open jobs and then plans for the whole fleet. On a narrow link or a small
+ * machine this takes seconds in which its own renewals are late, so that leadership moves on before any work is done.
+ */
+package dev.bronzeshore.leadership
+
+import dev.bronzeshore.core.cluster.NodeRow
+import kotlin.random.Random
+
+/** A takeover with 1,000 open jobs reads 1.5 MB, which a link of this bandwidth moves in 0.6 s. */
+private const val LINK_MBPS_PER_PROCESSOR = 20.0
+
+/** Stronger candidates get this much time each to take over first: reading and writing the store takes about 20 ms. */
+private const val RANK_DELAY_MS = 25L
+
+/** Upper bound, for days on which most of the stronger processes are down. */
+private const val MAX_RANK_DELAY_MS = 400L
+
+/** Processors of the largest machine for which a process that knows no others does not wait. */
+private const val LARGEST_CAPACITY = 2.0
+private const val DELAY_PER_PROCESSOR_MS = 150.0
+
+/** How much of a leader's work a machine can carry, in processors. */
+public fun leaderCapacity(processors: Double, linkMbps: Double): Double =
+    minOf(processors, linkMbps / LINK_MBPS_PER_PROCESSOR)
+
+/** Time for which [own] leaves a takeover to stronger processes. */
+public fun candidateDelayMs(own: NodeRow, peers: List<NodeRow>): Long = if (peers.isEmpty()) {
+    ((LARGEST_CAPACITY - own.leaderCapacity).coerceAtLeast(0.0) * DELAY_PER_PROCESSOR_MS).toLong()
+} else {
+    (peers.count { it.leaderCapacity > own.leaderCapacity } * RANK_DELAY_MS).coerceAtMost(MAX_RANK_DELAY_MS)
+}
+
+/** The order in which processes are asked to take over: the strongest first, equal ones at random. */
+public fun handoverOrder(peers: List<NodeRow>, random: Random): List<NodeRow> =
+    peers.shuffled(random).sortedByDescending { it.leaderCapacity }
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
@@ -41,12 +41,12 @@
     public val storeLost: suspend (LeaderTerm) -> Unit,
 )
 
-/** Runs on the control thread. [candidateDelayMs] is shorter on larger machines. */
+/** Runs on the control thread. [candidateDelayMs] is the time for which a takeover is left to stronger processes. */
 public class LeaderElection(
     private val store: ClusterStore,
     private val own: NodeRow,
     private val clock: ClockMs,
-    private val candidateDelayMs: Long,
+    private val candidateDelayMs: () -> Long,
     private val events: LeaderEvents,
 ) {
     private val log = EventLog("leadership")
@@ -151,7 +151,7 @@
 
     private val isCandidate: Boolean get() = held == null && !isStopping
 
-    private fun spreadMs() = candidateDelayMs + Random.nextLong(CANDIDATE_SPREAD_MS)
+    private fun spreadMs() = candidateDelayMs() + Random.nextLong(CANDIDATE_SPREAD_MS)
 
     private suspend fun takeOver(isWanted: () -> Boolean) {
         if (!isCandidate || !readAll()) return
--- /dev/null
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/CandidateOrderTest.kt
@@ -0,0 +1,50 @@
+/** Guards against leaders on machines that cannot carry the work while stronger ones are at hand. */
+package dev.bronzeshore.leadership
+
+import dev.bronzeshore.core.cluster.NodeRow
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
+
+private const val SEED = 1L
+
+class CandidateOrderTest {
+    data class Case(val name: String, val own: Double, val peers: List<Double>, val delayMs: Long) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `weaker candidates wait for stronger ones`(case: Case) {
+        val peers = case.peers.mapIndexed { number, capacity -> node("p$number", capacity) }
+        assertEquals(case.delayMs, candidateDelayMs(node("own", case.own), peers))
+    }
+
+    @Test
+    fun `a narrow link counts as few processors`() {
+        assertTrue(leaderCapacity(processors = 0.9, linkMbps = 10.0) < leaderCapacity(0.75, linkMbps = 200.0))
+        assertEquals(1.5, leaderCapacity(processors = 1.5, linkMbps = 200.0))
+    }
+
+    @Test
+    fun `a handover asks the strongest process first`() {
+        val peers = listOf(node("weak", 0.27), node("strong", 1.5), node("middle", 0.5))
+        assertEquals(listOf("strong", "middle", "weak"), handoverOrder(peers, Random(SEED)).map { it.processName })
+    }
+
+    private fun node(name: String, capacity: Double) = NodeRow(name, "boot", "$name:1", capacity)
+
+    companion object {
+        @JvmStatic
+        fun cases(): List<Case> = listOf(
+            Case("the strongest does not wait", 1.5, listOf(0.27, 0.5, 1.5), 0),
+            Case("one is stronger", 0.5, listOf(0.27, 0.5, 1.5), 25),
+            Case("many are stronger", 0.27, List(40) { 1.0 }, 400),
+            Case("a large machine that knows no others", 2.0, emptyList(), 0),
+            Case("a small machine that knows no others", 0.4, emptyList(), 240),
+        )
+    }
+}
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClassRecording.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClassRecording.kt
@@ -69,6 +69,7 @@
         storeAddress = "$LOOPBACK:${ports[0]}",
         adviceAddress = "$LOOPBACK:${ports[0]}",
         processorShare = 1.0,
+        linkMbps = 1_000.0,
         bounds = ClusterBounds(
             maxLeaseMs = 6_000,
             stopGraceMs = 900,
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -15,6 +15,8 @@
 import dev.bronzeshore.leadership.LeaderElection
 import dev.bronzeshore.leadership.LeaderEvents
 import dev.bronzeshore.leadership.LeaderTerm
+import dev.bronzeshore.leadership.candidateDelayMs
+import dev.bronzeshore.leadership.leaderCapacity
 import dev.bronzeshore.peering.PeerClient
 import dev.bronzeshore.peering.PeerServer
 import dev.bronzeshore.peering.handlerOf
@@ -47,12 +49,17 @@
 /** A call for advice takes up to 1.5 s and may wait behind another one. */
 private const val ADVICE_TIMEOUT_MS = 3_200L
 
+/** A process answers from memory; one that does not answer soon must not keep the next one from being asked. */
+private const val CONFIG_TIMEOUT_MS = 250L
+
 /** Above this time of a write the store is slow, and so are its change feeds. */
 private const val ANNOUNCE_ABOVE_MS = 60L
 
-/** The largest machine of a site offers itself first; a machine with two processors has no delay. */
-private const val CANDIDATE_DELAY_PER_PROCESSOR_MS = 80.0
-private const val LARGEST_PROCESSOR_SHARE = 2.0
+/** A leader that the store has answered this recently is served; its calls fail for want of its own time. */
+private const val RECENT_SUCCESS_MS = 400L
+
+/** Two renewals; the others take over after 1.4 s without one. */
+private const val RENEWAL_OVERDUE_MS = 1_100L
 
 internal class ClusterProcess(
     private val settings: ClusterSettings,
@@ -67,26 +74,34 @@
     private val platform = PlatformLink(selector, traffic, settings.storeAddress, settings.adviceAddress)
     private val health = StoreHealth(SteadyClock)
     private val store = health.watching(platform.store)
-    private val peerCaller = PeerCaller(PeerClient(selector, timeOfDay, scope), timeOfDay)
-    private val ownRow =
-        NodeRow(settings.processName, bootId, "${settings.peers.host}:${settings.peers.port}")
-    private val directory = NodeDirectory(store, ownRow) { election.currentTerm != null }
-    private val config = ConfigFollower(store, { directory.peers }, peerCaller)
+    private val peerCaller = newPeerCaller()
+    private val ownRow = NodeRow(
+        settings.processName,
+        bootId,
+        "${settings.peers.host}:${settings.peers.port}",
+        leaderCapacity(settings.processorShare, settings.linkMbps),
+    )
+    private val directory: NodeDirectory = NodeDirectory(store, ownRow) { election.currentTerm != null }
+    private val config = ConfigFollower(store, SteadyClock, { directory.peers }) { peer, version ->
+        peerCaller.call(peer, CONFIG_CALL, ConfigRequest(version), CONFIG_TIMEOUT_MS)?.content
+    }
     private val metrics = ClusterMetrics({ config.current?.version ?: 0 }, { election.currentTerm?.term ?: 0 })
     private val localDesk: JobDesk = createStoreDesk(store, SteadyClock, { health.isServed }, scope)
     private val desk = PeerDesk(localDesk, health, { directory.peers }, peerCaller)
-    private val election = LeaderElection(
+    private val election: LeaderElection = LeaderElection(
         store,
         ownRow,
         SteadyClock,
-        candidateDelayMs(),
+        { candidateDelayMs(ownRow, directory.peers) },
         LeaderEvents(
             gained = ::startTerm,
             lost = { endTerm() },
-            storeLost = { term -> scope.launch(control) { passOn(term) } },
+            storeLost = { term -> scope.launch(control) { passOnUnlessServed(term) } },
         ),
     )
-    private val leaderLink: LeaderLink by lazy { LeaderLink(ownRow, election, { directory.peers }, peerCaller) }
+    private val leaderLink: LeaderLink by lazy {
+        LeaderLink(ownRow, election, { directory.peers }, peerCaller, newPeerCaller())
+    }
     private var runner: LeaderTermRunner? = null
     private val inFlight = AtomicInteger()
     private var term: Job? = null
@@ -142,11 +157,14 @@
         if (leaderLink.handOver(term.term)) election.stepDown(term)
     }
 
-    private fun candidateDelayMs(): Long = (
-        (LARGEST_PROCESSOR_SHARE - settings.processorShare).coerceAtLeast(
-            0.0,
-        ) * CANDIDATE_DELAY_PER_PROCESSOR_MS
-        ).toLong()
+    /** A busy leader's renewal may be late although the store serves it; only a second one in a row is a reason. */
+    private suspend fun passOnUnlessServed(term: LeaderTerm) {
+        val now = SteadyClock()
+        val isServed = now - health.succeededAtMs < RECENT_SUCCESS_MS && now - election.renewedAtMs < RENEWAL_OVERDUE_MS
+        if (!isServed) passOn(term)
+    }
+
+    private fun newPeerCaller() = PeerCaller(PeerClient(selector, timeOfDay, scope), timeOfDay)
 
     private suspend fun startTerm(won: LeaderTerm) {
         endTerm()
@@ -192,7 +210,10 @@
         handlerOf(STATE_CALL) { onControl { knownState(it.jobId) ?: localDesk.stateOf(it.jobId) }.right() },
         handlerOf(PHASE_CALL) { PhaseReply(onControl { runner?.phaseOf(it.jobId) }).right() },
         handlerOf(HANDOVER_CALL) {
-            HandoverReply(onControl { election.takeOverFrom(it.term, "handed over", isOnlyCandidate = true) }).right()
+            val isTaken = onControl {
+                health.isServed && election.takeOverFrom(it.term, "handed over", isOnlyCandidate = true)
+            }
+            HandoverReply(isTaken).right()
         },
         handlerOf(ANNOUNCE_CALL) { Announcement(onControl { runner?.takeAnnounced(it) } != null).right() },
         handlerOf(WATCH_CALL) { request ->
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterSettingsFile.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterSettingsFile.kt
@@ -36,6 +36,7 @@
     val processorShare: Double = 1.0,
     val processors: Int = 1,
     val memoryMb: Int = 0,
+    val linkMbps: Double = 1_000.0,
     val bounds: BoundsSection,
 )
 
@@ -77,6 +78,7 @@
     storeAddress = storeAddress,
     adviceAddress = adviceAddress,
     processorShare = processorShare * processors,
+    linkMbps = linkMbps,
     bounds = ClusterBounds(
         maxLeaseMs = bounds.maxLeaseMs,
         stopGraceMs = bounds.stopGraceMs,
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderLink.kt
@@ -13,7 +13,12 @@
 import dev.bronzeshore.core.cluster.NodeRow
 import dev.bronzeshore.leadership.KnownLeader
 import dev.bronzeshore.leadership.LeaderElection
+import dev.bronzeshore.leadership.handoverOrder
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 
 /** Time for which the leader holds the answer of a watch. */
@@ -35,11 +40,16 @@
 /** A takeover reads and writes the store once, which takes more than a second in a slow spell. */
 private const val HANDOVER_TIMEOUT_MS = 2_500L
 
+/** A process that the store serves takes over in about 30 ms; one that it turns away must not hold up the next one. */
+private const val HANDOVER_NEXT_MS = 400L
+
 internal class LeaderLink(
     private val own: NodeRow,
     private val election: LeaderElection,
     private val peers: () -> List<NodeRow>,
     private val calls: PeerCaller,
+    /** Has connections of its own: another call that is answered late ends the connection that it used. */
+    private val watchCalls: PeerCaller,
 ) {
     private val log = EventLog("leadership")
     private var isHandingOver = false
@@ -55,7 +65,7 @@
 
     private suspend fun watchOnce(leader: KnownLeader) {
         val startedAtMs = SteadyClock()
-        if (calls.call(leader.node(), WATCH_CALL, WatchRequest(WATCH_HOLD_MS), WATCH_TIMEOUT_MS) != null) return
+        if (watchCalls.call(leader.node(), WATCH_CALL, WatchRequest(WATCH_HOLD_MS), WATCH_TIMEOUT_MS) != null) return
         if (SteadyClock() - startedAtMs > BROKEN_WITHIN_MS ||
             election.knownLeader?.term != leader.term
         ) {
@@ -63,7 +73,7 @@
         }
         delay(SECOND_TRY_PAUSE_MS)
         val secondAtMs = SteadyClock()
-        if (calls.call(leader.node(), WATCH_CALL, WatchRequest(0), SECOND_TRY_TIMEOUT_MS) != null) return
+        if (watchCalls.call(leader.node(), WATCH_CALL, WatchRequest(0), SECOND_TRY_TIMEOUT_MS) != null) return
         if (SteadyClock() - secondAtMs < SECOND_TRY_TIMEOUT_MS && election.knownLeader?.term == leader.term) {
             election.takeOverFrom(leader.term, "the leader's port is closed", isOnlyCandidate = false)
         }
@@ -93,16 +103,28 @@
         }
         isHandingOver = true
         try {
-            for (peer in peers().shuffled(Random)) {
-                if (election.currentTerm?.term != term) return false
-                val reply = calls.call(peer, HANDOVER_CALL, HandoverRequest(term), HANDOVER_TIMEOUT_MS)
-                log.event("handover", "term" to term, "peer" to peer.processName, "taken" to reply?.isTaken)
-                if (reply?.isTaken == true) return true
+            return coroutineScope {
+                val taken = CompletableDeferred<Boolean>()
+                val asking = launch { askInTurn(term, taken) }
+                asking.invokeOnCompletion { taken.complete(false) }
+                taken.await().also { asking.cancel() }
             }
         } finally {
             isHandingOver = false
         }
-        return false
+    }
+
+    /** Asks the next process as well when one does not answer soon; the store lets only one of them take over. */
+    private suspend fun askInTurn(term: Long, taken: CompletableDeferred<Boolean>) = coroutineScope {
+        for (peer in handoverOrder(peers(), Random)) {
+            if (election.currentTerm?.term != term) break
+            val call = launch {
+                val reply = calls.call(peer, HANDOVER_CALL, HandoverRequest(term), HANDOVER_TIMEOUT_MS)
+                log.event("handover", "term" to term, "peer" to peer.processName, "taken" to reply?.isTaken)
+                if (reply?.isTaken == true) taken.complete(true)
+            }
+            withTimeoutOrNull(HANDOVER_NEXT_MS) { call.join() }
+        }
     }
 
     private fun KnownLeader.node() = NodeRow(processName, "", peerAddress)
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
@@ -23,7 +23,10 @@
 
     /** Typical time of a recent write. */
     val typicalWriteMs: Long get() = writes.typicalMs
-    private var succeededAtMs = clock()
+
+    /** Steady time of the last call that the store answered. */
+    var succeededAtMs: Long = clock()
+        private set
 
     /** False while the store does not serve this process, as far as its last calls show. */
     var isServed: Boolean = true
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderElectionTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderElectionTest.kt
@@ -37,7 +37,7 @@
         fun boot(name: String): Candidate {
             val row = NodeRow(name, "$name-${scope.currentTime}", "$name:1")
             val events = LeaderEvents(gained = { gained += it.term }, lost = {}, storeLost = { storeLost++ })
-            val election = LeaderElection(store.asSeenBy(name), row, { scope.currentTime }, 0, events)
+            val election = LeaderElection(store.asSeenBy(name), row, { scope.currentTime }, { 0 }, events)
             return Candidate(name, election, scope.backgroundScope.launch { election.run() })
         }
     }
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderLinkTest.kt
@@ -0,0 +1,105 @@
+/** What a process concludes about the leader from its calls; over loopback connections. */
+package dev.bronzeshore.server.cluster
+
+import arrow.core.right
+import dev.bronzeshore.core.SteadyClock
+import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.JobDescription
+import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.core.cluster.QueueTerms
+import dev.bronzeshore.leadership.LeaderElection
+import dev.bronzeshore.leadership.LeaderEvents
+import dev.bronzeshore.peering.PeerClient
+import dev.bronzeshore.peering.PeerServer
+import dev.bronzeshore.peering.handlerOf
+import dev.bronzeshore.standins.cluster.StoreStandIn
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import kotlin.random.Random
+
+private const val HOST = "127.0.0.1"
+private const val LOOKS = 20
+private const val LOOK_EVERY_MS = 30L
+
+/** A busy leader's answer comes this late. */
+private const val LATE_ANSWER_MS = 250L
+private const val AWAIT_MS = 10_000L
+private const val POLL_MS = 10L
+
+class LeaderLinkTest {
+    private class Setup(private val scope: CoroutineScope) {
+        private val selector = SelectorManager(Dispatchers.IO)
+        private val store = StoreStandIn(Random(1), scope)
+        private val leaderRow = NodeRow("leader", "boot-1", "")
+
+        fun election(row: NodeRow) = LeaderElection(
+            store.asSeenBy(row.processName),
+            row,
+            SteadyClock,
+            { 0 },
+            LeaderEvents(gained = {}, lost = {}, storeLost = {}),
+        )
+
+        /** A leader that answers watches late and announcements far too late. */
+        suspend fun startLeader(): Pair<LeaderElection, Job> {
+            val handlers = listOf(
+                handlerOf(WATCH_CALL) { request ->
+                    delay(maxOf(request.holdMs, LATE_ANSWER_MS))
+                    WatchReply(true).right()
+                },
+                handlerOf(ANNOUNCE_CALL) {
+                    delay(AWAIT_MS)
+                    Announcement(true).right()
+                },
+            )
+            val serverJob = Job()
+            val serverScope = CoroutineScope(Dispatchers.IO + serverJob)
+            val port = PeerServer(selector, System::currentTimeMillis, handlers).start(HOST, 0, serverScope)
+            return election(leaderRow.copy(peerAddress = "$HOST:$port")) to serverJob
+        }
+
+        fun newCaller() = PeerCaller(PeerClient(selector, System::currentTimeMillis, scope), System::currentTimeMillis)
+    }
+
+    /** Guards against a busy leader that is taken for dead because calls that it answers late end their connection. */
+    @Test
+    @Timeout(60)
+    fun `a leader that answers late keeps its term, one whose port is closed loses it`() = runBlocking {
+        val setup = Setup(this)
+        val (leader, server) = setup.startLeader()
+        launch { leader.run() }
+        awaitThat { leader.currentTerm != null }
+        val own = NodeRow("follower", "boot-2", "$HOST:1")
+        val follower = setup.election(own)
+        launch { follower.run() }
+        awaitThat { follower.knownLeader != null }
+        val terms = QueueTerms("queue", "service", 0, 1, 1.0, 0)
+        val job = AcceptedJob("0000000000000001", JobDescription("payload", emptyList()), terms, 0)
+        val link = LeaderLink(own, follower, { emptyList() }, setup.newCaller(), setup.newCaller())
+        launch { link.watch() }
+        repeat(LOOKS) {
+            launch { link.announce(job) }
+            delay(LOOK_EVERY_MS)
+        }
+        delay(LATE_ANSWER_MS)
+        assertEquals(1, follower.knownLeader?.term)
+        server.cancelAndJoin()
+        awaitThat { follower.currentTerm?.term == 2L }
+        coroutineContext.cancelChildren()
+    }
+
+    private suspend fun awaitThat(condition: () -> Boolean) = withTimeout(AWAIT_MS) {
+        while (!condition()) delay(POLL_MS)
+    }
+}
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreDeskTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreDeskTest.kt
@@ -107,4 +107,18 @@
         setup.store.faults.isDown = true
         assertEquals(StateAnswer.Unavailable, setup.desk.stateOf(job(1).jobId))
     }
+
+    /** Guards against an accepted job that is denied because it ends while its state is read (LOST). */
+    @Test
+    fun `a job that ends between two looks at the store is found`() = runTest {
+        val setup = Setup(this)
+        setup.desk.submit(job(1))
+        setup.store.faults.latencyMs = 300
+        val state = async { setup.desk.stateOf(job(1).jobId) }
+        delay(400)
+        val progress = JobProgress(JobPhase.COMPLETED)
+        setup.store.put(Tables.progressRow(job(1).jobId), encodeRow(JobProgress.serializer(), progress))
+        setup.store.put(Tables.acceptedRow(job(1).jobId), null)
+        assertEquals(StateAnswer.Found(JobPhase.COMPLETED), state.await())
+    }
 }
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
@@ -112,6 +112,22 @@
         assertEquals(emptyList<String>(), trial.workers.judge.violations)
     }
 
+    /** Guards against takeovers that read every job of the day, and against an ended job that starts again. */
+    @Test
+    fun `a takeover reads open jobs only, and a repeated submission of an ended one starts nothing`() = runTest {
+        val trial = SchedulerTrial(this, seed = 10, workerCount = 2)
+        trial.lead()
+        trial.submit(JOB, step(replicas = 2, cores = 4, durationMs = 300))
+        trial.awaitThat { trial.phaseOf(JOB) == JobPhase.COMPLETED }
+        trial.awaitThat { trial.store.rowsOf(Tables.INTAKE).isEmpty() }
+        trial.stopLeader()
+        trial.lead()
+        trial.submit(JOB, step(replicas = 2, cores = 4, durationMs = 300))
+        delay(3_000)
+        assertEquals(JobPhase.COMPLETED, trial.phaseOf(JOB))
+        assertEquals(2, trial.workers.judge.starts)
+    }
+
     private fun SchedulerTrial.rosterVersion() = store.rowsOf(Tables.LEADER_NOTES).first {
         it.id == Tables.ROSTER_ROW
     }.version
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
@@ -8,6 +8,9 @@
     /** Callers that are refused although the store serves others. */
     public val refusedCallers: MutableSet<String> = HashSet()
 
+    /** Callers whose change feeds get no answer, as on a connection that has fallen silent. */
+    public val silentFeeds: MutableSet<String> = HashSet()
+
     /** Callers whose change feeds answer later by this time. */
     public val lateFeedsMs: MutableMap<String, Long> = HashMap()
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
@@ -23,6 +23,9 @@
 /** Time after which a caller gives up a call without an answer. */
 private const val GIVE_UP_MS = 600L
 
+/** The longest time-out of a feed call beyond its wait, which it has after an outage. */
+private const val SILENT_FEED_MS = 2_200L
+
 public class StoreStandIn(private val random: Random, private val scope: CoroutineScope) {
     public val faults: StoreFaults = StoreFaults()
     private val rows = HashMap<RowId, StoredRow>()
@@ -106,6 +109,10 @@
         waitMs: Long,
     ): Either<ReadFailure, ChangePage> {
         calls.merge("changes", 1, Int::plus)
+        if (caller in faults.silentFeeds) {
+            delay(waitMs + SILENT_FEED_MS)
+            return ReadFailure.Unavailable("no answer").left()
+        }
         var waitedMs = 0L
         while (true) {
             if (isRefused(caller)) return ReadFailure.Unavailable("refused").left()
