--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
@@ -1,6 +1,7 @@
 /** Patterns of heavy days: who waits, who goes first, and where work goes. */
 package dev.bronzeshore.server.cluster
 
+import dev.bronzeshore.core.cluster.AdviceTerms
 import dev.bronzeshore.core.cluster.JobPhase
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -66,11 +67,39 @@
         assertTrue(trial.awaitPhase(URGENT, JobPhase.CANCELLED, withinMs = 3_000))
     }
 
-    private suspend fun flood(trial: SchedulerTrial) {
+    /** Guards against wide steps that wait for advice on workers that they do not need, on a large fleet. */
+    @Test
+    fun `a gang on a large fleet starts after one call for advice`() = runTest {
+        val trial = SchedulerTrial(this, seed = 11, workerCount = 150)
+        trial.lead()
+        trial.adviceTerms = AdviceTerms(decisionMs = 700.0, perWorkerMs = 10.0, validityMs = 1_500)
+        delay(2_000)
+        trial.submit(GANG, step(replicas = 12, cores = 4, durationMs = 500, isGang = true))
+        // One call for 30 workers takes 1,000 ms and the run 500 ms; a call for 100 workers would take 1,700 ms.
+        assertTrue(trial.awaitPhase(GANG, JobPhase.COMPLETED, withinMs = 2_000))
+        assertEquals(1, trial.adviceCalls.size)
+    }
+
+    /** Guards against gangs whose tickets expire again and again, because new ones are asked for on all workers. */
+    @Test
+    fun `gangs on a busy large fleet start although tickets expire`() = runTest {
+        val trial = SchedulerTrial(this, seed = 12, workerCount = 100)
+        trial.lead()
+        delay(2_000)
+        backgroundScope.launch { flood(trial, everyMs = 30, cores = 10) }
+        delay(3_000)
+        trial.adviceTerms = AdviceTerms(decisionMs = 700.0, perWorkerMs = 10.0, validityMs = 1_500)
+        trial.submit(GANG, step(replicas = 24, cores = 4, durationMs = 500, isGang = true), priority = 1)
+        trial.adviceTerms = null
+        assertTrue(trial.awaitPhase(GANG, JobPhase.COMPLETED, withinMs = 6_000))
+        assertEquals(emptyList<String>(), trial.workers.judge.violations)
+    }
+
+    private suspend fun flood(trial: SchedulerTrial, everyMs: Long = 120, cores: Int = 3) {
         var number = 0
         while (true) {
-            trial.submit((number++).toString(16).padStart(16, '0'), step(3, 3, 1_200), priority = 1)
-            delay(120)
+            trial.submit((number++).toString(16).padStart(16, '0'), step(3, cores, 1_200), priority = 1)
+            delay(everyMs)
         }
     }
 }
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerTrial.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerTrial.kt
@@ -9,6 +9,8 @@
 
 import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.AdviceTerms
+import dev.bronzeshore.core.cluster.AdviceTicket
 import dev.bronzeshore.core.cluster.ClusterBounds
 import dev.bronzeshore.core.cluster.JobDescription
 import dev.bronzeshore.core.cluster.JobPhase
@@ -16,12 +18,14 @@
 import dev.bronzeshore.core.cluster.QueueTerms
 import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.StepDescription
+import dev.bronzeshore.core.cluster.StepName
 import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.WorkerChange
 import dev.bronzeshore.core.cluster.WorkerEntry
 import dev.bronzeshore.core.cluster.decodeRow
 import dev.bronzeshore.core.cluster.encodeRow
+import dev.bronzeshore.scheduler.AdviceCaller
 import dev.bronzeshore.scheduler.LeaderDependencies
 import dev.bronzeshore.scheduler.LeaderTermRunner
 import dev.bronzeshore.scheduler.SchedulerMetrics
@@ -43,6 +47,8 @@
 private const val WORKER_TABLE = "workers"
 private const val AWAIT_MS = 10_000L
 private const val AWAIT_POLL_MS = 20L
+private const val ADVICE_CALLERS = 20
+private const val GOOD_WORKER_EVERY = 3
 
 internal fun boundsForTests() = ClusterBounds(
     maxLeaseMs = MAX_LEASE_MS,
@@ -64,6 +70,13 @@
         TaskModel(step.size, step.estimateMs)
     }
     private val entries = HashMap<String, WorkerEntry>()
+
+    /** Terms of the queues of jobs that are submitted from now on. */
+    var adviceTerms: AdviceTerms? = null
+
+    /** Number of workers named in each call for advice. */
+    val adviceCalls = ArrayList<Int>()
+    private val adviceCallers = List(ADVICE_CALLERS) { AdviceCaller("n$it", ::advise) }
     private var term = 0L
     private var leader: Job? = null
     private val jobs = HashMap<Long, Job>()
@@ -78,6 +91,15 @@
 
     fun nowMs(): Long = scope.currentTime
 
+    /** Takes the time that the queue's terms say; one worker in three may run a step, which does not change. */
+    private suspend fun advise(step: StepName, workerIds: List<String>): List<AdviceTicket> {
+        val terms = accepted.getValue(step.jobId).terms.advice ?: return emptyList()
+        adviceCalls += workerIds.size
+        delay((terms.decisionMs + terms.perWorkerMs * workerIds.size).toLong())
+        return workerIds.filter { Math.floorMod("$step/$it".hashCode(), GOOD_WORKER_EVERY) == 0 }
+            .map { AdviceTicket(it, "ticket") }
+    }
+
     private fun register(change: WorkerChange) {
         val entry = change.entry
         val key = entry?.let { "${it.life.workerId}@${it.life.startedAtMs}" }
@@ -102,7 +124,7 @@
             timeOfDay = ::nowMs,
             metrics = SchedulerMetrics(),
             renewal = TermRenewal({ null }, {}),
-            adviceCallers = { emptyList() },
+            adviceCallers = { adviceCallers },
             workerTable = WORKER_TABLE,
             decodeWorker = ::decode,
             onDeposed = { jobs[version]?.cancel() },
@@ -122,7 +144,7 @@
     }
 
     fun submit(id: String, vararg steps: StepDescription, priority: Int = 1, attempts: Int = 3) {
-        val terms = QueueTerms("queue-$priority", SERVICE, priority, attempts, 2.0, 1_000)
+        val terms = QueueTerms("queue-$priority", SERVICE, priority, attempts, 2.0, 1_000, adviceTerms)
         val job = AcceptedJob(id, JobDescription("payload", steps.toList()), terms, nowMs())
         accepted[id] = job
         durations[id] = steps.maxOf { it.estimateMs }
