--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/CandidateOrder.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/CandidateOrder.kt
@@ -22,6 +22,9 @@
 private const val LARGEST_CAPACITY = 2.0
 private const val DELAY_PER_PROCESSOR_MS = 150.0
 
+private const val STRONGEST_ASKED = 4
+private const val OTHERS_ASKED = 3
+
 /** How much of a leader's work a machine can carry, in processors. */
 public fun leaderCapacity(processors: Double, linkMbps: Double): Double =
     minOf(processors, linkMbps / LINK_MBPS_PER_PROCESSOR)
@@ -33,6 +36,12 @@
     (peers.count { it.leaderCapacity > own.leaderCapacity } * RANK_DELAY_MS).coerceAtMost(MAX_RANK_DELAY_MS)
 }
 
-/** The order in which processes are asked to take over: the strongest first, equal ones at random. */
-public fun handoverOrder(peers: List<NodeRow>, random: Random): List<NodeRow> =
-    peers.shuffled(random).sortedByDescending { it.leaderCapacity }
+/**
+ * Processes to ask to take over, in order: the strongest, equal ones at random, and then some of the others.
+ *
+ * The leader asks again with its next renewal, so a few processes are enough also when the store turns many away.
+ */
+public fun handoverOrder(peers: List<NodeRow>, random: Random): List<NodeRow> {
+    val byCapacity = peers.shuffled(random).sortedByDescending { it.leaderCapacity }
+    return byCapacity.take(STRONGEST_ASKED) + byCapacity.drop(STRONGEST_ASKED).shuffled(random).take(OTHERS_ASKED)
+}
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/CandidateOrderTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/CandidateOrderTest.kt
@@ -35,6 +35,14 @@
         assertEquals(listOf("strong", "middle", "weak"), handoverOrder(peers, Random(SEED)).map { it.processName })
     }
 
+    @Test
+    fun `a handover asks few of many processes, not only the strongest`() {
+        val peers = List(40) { node("p$it", if (it < 10) 1.5 else 0.27) }
+        val asked = handoverOrder(peers, Random(SEED))
+        assertEquals(List(4) { 1.5 }, asked.take(4).map { it.leaderCapacity })
+        assertEquals(7, asked.distinct().size)
+    }
+
     private fun node(name: String, capacity: Double) = NodeRow(name, "boot", "$name:1", capacity)
 
     companion object {
