Trace a job through the logs of all processes

On-call engineers have only logs. `bronzeshorectl trace JOB FILE...` shows the lines of a job from the logs of all processes and one sentence for each cause: who refused it and since when the store had not served that process, what the first start waited for, the longest run, or the workers on which it failed.

--- a/ctl/src/main/kotlin/dev/bronzeshore/ctl/RootGroup.kt
+++ b/ctl/src/main/kotlin/dev/bronzeshore/ctl/RootGroup.kt
@@ -16,6 +16,7 @@
         SubCommand(name = "audit", impl = AuditCommand::class),
         SubCommand(name = "status", impl = StatusCommand::class),
         SubCommand(name = "check", impl = CheckCommand::class),
+        SubCommand(name = "trace", impl = TraceCommand::class),
     )
     private var action: Command? = null
 
--- a/ctl/src/test/kotlin/dev/bronzeshore/ctl/CtlTest.kt
+++ b/ctl/src/test/kotlin/dev/bronzeshore/ctl/CtlTest.kt
@@ -72,7 +72,7 @@
         strings = [
             "", "plans", "plans apply", "plans diff", "plans show", "plans history", "vm", "vm join", "vm leave",
             "vm gone", "vm list", "job", "job submit", "job status", "job cancel", "job list", "why", "audit",
-            "status", "check",
+            "status", "check", "trace",
         ],
     )
     fun `every command has complete help`(command: String) {
