Keep advice for each life of a worker

Advice was kept by worker id. A worker that starts again may be of another kind: the leader kept planning tasks on it and asked for a ticket that never came, because an answer that leaves a worker out did not take its former ticket away.

PlannerPartsTest covers a second life and an answer that leaves a worker out.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDesk.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDesk.kt
@@ -8,6 +8,7 @@
 
 import dev.bronzeshore.core.cluster.AdviceTicket
 import dev.bronzeshore.core.cluster.StepName
+import dev.bronzeshore.core.cluster.WorkerLife
 import kotlinx.coroutines.launch
 
 /** A process that can call the advice service. */
@@ -55,25 +56,25 @@
         for (need in wanting) {
             val caller = idle.firstOrNull() ?: return
             val step = need.step
-            val workerIds = selection.workersToAsk(need, eligible(step), now).map { it.id }
-            val isLong = durationMs(step, workerIds.size) > LONG_CALL_MS
-            if (workerIds.isEmpty() || isLong && busyWithLong.size >= maxLong) continue
+            val workers = selection.workersToAsk(need, eligible(step), now).map { it.life }
+            val isLong = durationMs(step, workers.size) > LONG_CALL_MS
+            if (workers.isEmpty() || isLong && busyWithLong.size >= maxLong) continue
             idle.removeFirst()
-            send(caller, step, workerIds, isLong)
+            send(caller, step, workers, isLong)
         }
     }
 
     private fun durationMs(step: TrackedStep, workers: Int): Double =
         step.job.terms.advice?.let { it.decisionMs + it.perWorkerMs * workers } ?: 0.0
 
-    private fun send(caller: AdviceCaller, step: TrackedStep, workerIds: List<String>, isLong: Boolean) {
+    private fun send(caller: AdviceCaller, step: TrackedStep, workers: List<WorkerLife>, isLong: Boolean) {
         busy += caller.name
         if (isLong) busyWithLong += caller.name
         step.advice.isInFlight = true
         context.scope.launch {
             try {
-                val answer = caller.ask(step.name, workerIds)
-                take(caller, step, workerIds, answer)
+                val answer = caller.ask(step.name, workers.map { it.workerId })
+                take(caller, step, workers, answer)
             } finally {
                 busy -= caller.name
                 busyWithLong -= caller.name
@@ -83,7 +84,7 @@
         }
     }
 
-    private fun take(caller: AdviceCaller, step: TrackedStep, workerIds: List<String>, answer: List<AdviceTicket>?) {
+    private fun take(caller: AdviceCaller, step: TrackedStep, workers: List<WorkerLife>, answer: List<AdviceTicket>?) {
         val now = context.clock()
         if (answer == null) {
             step.advice.notBeforeMs = now + RETRY_PAUSE_MS
@@ -92,24 +93,24 @@
             context.log.event("advice_failed", "step" to step.name, "caller" to caller.name)
             return
         }
-        learnShare(step, workerIds, answer.size)
+        learnShare(step, workers, answer.size)
         val validityMs = step.job.terms.advice?.validityMs ?: 0
-        step.advice.record(workerIds, answer, now + validityMs - TICKET_TRANSIT_MS)
+        step.advice.record(workers, answer, now + validityMs - TICKET_TRANSIT_MS)
         context.metrics.advice("answered")
         context.log.event(
             "advice",
             "step" to step.name,
-            "asked" to workerIds.size,
+            "asked" to workers.size,
             "good" to answer.size,
             "caller" to caller.name,
         )
     }
 
     /** Only workers not asked for before tell the share; the others are known to be good. */
-    private fun learnShare(step: TrackedStep, workerIds: List<String>, good: Int) {
-        val fresh = workerIds.count { !step.advice.isAsked(it) }
+    private fun learnShare(step: TrackedStep, workers: List<WorkerLife>, good: Int) {
+        val fresh = workers.count { !step.advice.isAsked(it) }
         if (fresh == 0) return
-        val known = workerIds.size - fresh
+        val known = workers.size - fresh
         val share = ((good - known).toDouble() / fresh).coerceIn(MIN_GOOD_SHARE, 1.0)
         goodShares.merge(step.job.terms.queue, share) { old, new -> old + SHARE_WEIGHT * (new - old) }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceSelection.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceSelection.kt
@@ -6,6 +6,8 @@
  */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.WorkerLife
+
 /** What a step lacks before it can start. */
 internal data class AdviceNeed(
     val step: TrackedStep,
@@ -35,8 +37,10 @@
     /** The workers to name, out of those that are [eligible] for the step; empty if a call would not help. */
     fun workersToAsk(need: AdviceNeed, eligible: List<TrackedWorker>, nowMs: Long): List<TrackedWorker> {
         val advice = need.step.advice
-        val planned = need.planned.distinct().filter { advice.ticketFor(it.id, nowMs) == null }
-        val expired = eligible.filter { it.hasRoomFor(need.step) && advice.hasExpired(it.id, nowMs) && it !in planned }
+        val planned = need.planned.distinct().filter { advice.ticketFor(it.life, nowMs) == null }
+        val expired = eligible.filter {
+            it.hasRoomFor(need.step) && advice.hasExpired(it.life, nowMs) && it !in planned
+        }
         if (need.unplacedTasks == 0) return (planned + expired.take(SPARE_WORKERS)).take(MAX_WORKERS_IN_CALL)
         val fresh = freshWorkers(need, eligible)
         return if (fresh.isEmpty()) planned else (planned + expired + fresh).take(MAX_WORKERS_IN_CALL)
@@ -45,7 +49,7 @@
     /** Workers not asked for yet, the most useful first, until the tasks are likely to find room on them. */
     private fun freshWorkers(need: AdviceNeed, eligible: List<TrackedWorker>): List<TrackedWorker> {
         val step = need.step
-        val candidates = eligible.filter { !step.advice.isAsked(it.id) }.sortedWith(preference(step))
+        val candidates = eligible.filter { !step.advice.isAsked(it.life) }.sortedWith(preference(step))
         val minimum = if (step.advice.isKnown) 0 else FIRST_CALL_WORKERS
         val goodShare = goodShareOf(step.job.terms.queue)
         val chosen = ArrayList<TrackedWorker>()
@@ -68,6 +72,5 @@
 
     private fun TrackedWorker.hasRoomFor(step: TrackedStep) = step.room.countIn(free) > 0
 
-    private fun StepAdvice.hasExpired(workerId: String, nowMs: Long) =
-        mayRunOn(workerId) && ticketFor(workerId, nowMs) == null
+    private fun StepAdvice.hasExpired(life: WorkerLife, nowMs: Long) = mayRunOn(life) && ticketFor(life, nowMs) == null
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -98,7 +98,10 @@
             val tasks = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
             if (tasks.isEmpty() || step.description.isGang && tasks.size < step.tasks.size) return
             val workers = workersFor(step)
-            if (step.job.terms.advice != null && workers.any { !step.advice.isAsked(it.id) } && !step.advice.isKnown) {
+            if (step.job.terms.advice != null &&
+                workers.any { !step.advice.isAsked(it.life) } &&
+                !step.advice.isKnown
+            ) {
                 adviceNeeded += AdviceNeed(step, emptyList(), tasks.size)
                 return
             }
@@ -109,7 +112,7 @@
         }
 
         private fun TrackedStep.needsMoreAdvice(workers: List<TrackedWorker>) =
-            job.terms.advice != null && workers.any { !advice.isAsked(it.id) }
+            job.terms.advice != null && workers.any { !advice.isAsked(it.life) }
 
         private fun workersFor(step: TrackedStep): List<TrackedWorker> {
             val service = step.job.terms.service
@@ -122,7 +125,7 @@
             tasks: List<TrackedTask>,
             workers: List<TrackedWorker>,
         ): List<Pair<TrackedTask, TrackedWorker>> {
-            val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.id) }
+            val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.life) }
             val local = RoomView().also { copy -> allowed.forEach { copy.take(it, it.free - room.free(it)) } }
             val onWorker = HashMap<TrackedWorker, Int>()
             step.tasks.mapNotNull { it.placement?.worker }.forEach { onWorker.merge(it, 1, Int::plus) }
@@ -172,14 +175,14 @@
 
         private fun needsNewTicket(step: TrackedStep, worker: TrackedWorker): Boolean {
             val advice = step.job.terms.advice ?: return false
-            return advice.decisionMs >= SLOW_ADVICE_MS && step.advice.ticketFor(worker.id, now) == null
+            return advice.decisionMs >= SLOW_ADVICE_MS && step.advice.ticketFor(worker.life, now) == null
         }
 
         /** Starts what has a valid ticket; otherwise keeps the room until the tickets have come. */
         private fun startOrAsk(step: TrackedStep, chosen: List<Pair<TrackedTask, TrackedWorker>>, unplacedTasks: Int) {
             chosen.forEach { (_, worker) -> room.take(worker, step.room) }
             val needsTicket = step.job.terms.advice != null
-            val ready = chosen.filter { (_, worker) -> !needsTicket || step.advice.ticketFor(worker.id, now) != null }
+            val ready = chosen.filter { (_, worker) -> !needsTicket || step.advice.ticketFor(worker.life, now) != null }
             val isStarting = ready.size == chosen.size || !step.description.isGang
             if (ready.size < chosen.size || unplacedTasks > 0) {
                 adviceNeeded += AdviceNeed(step, chosen.map { it.second }, unplacedTasks)
@@ -188,7 +191,7 @@
             val run = nextRun(step)
             ready.mapTo(starts) { (task, worker) ->
                 val number = if (step.description.isGang) run else maxOf(task.lastRun + 1, firstRun())
-                PlannedStart(task, worker, number, step.advice.ticketFor(worker.id, now))
+                PlannedStart(task, worker, number, step.advice.ticketFor(worker.life, now))
             }
         }
 
@@ -199,7 +202,7 @@
         /** Keeps free room for a gang that does not fit now, if it can ever fit on the workers that may run it. */
         private fun waitAsGang(step: TrackedStep, count: Int, workers: List<TrackedWorker>) {
             if (step.needsMoreAdvice(workers)) adviceNeeded += AdviceNeed(step, emptyList(), count)
-            val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.id) }
+            val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.life) }
             val couldFit = allowed.sumOf { step.room.countIn(it.entry.capacity).coerceAtMost(count).toLong() }
             if (couldFit < count || waitingGangs >= MAX_WAITING_GANGS) return
             waitingGangs++
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
@@ -2,14 +2,19 @@
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.AdviceTicket
+import dev.bronzeshore.core.cluster.WorkerLife
 
 /** A ticket and the steady time until which a start may carry it. */
 internal data class HeldTicket(val ticket: String, val validUntilMs: Long)
 
-/** The workers that may run a step do not change; only the tickets that prove it expire. */
+/**
+ * The workers that may run a step do not change; only the tickets that prove it expire.
+ *
+ * A worker that starts again may be of another kind, so both are kept for each life of a worker.
+ */
 internal class StepAdvice {
-    private val tickets = HashMap<String, HeldTicket>()
-    private val asked = HashSet<String>()
+    private val tickets = HashMap<WorkerLife, HeldTicket>()
+    private val asked = HashSet<WorkerLife>()
     var isInFlight: Boolean = false
 
     /** Not asked again before this steady time, after a call that failed. */
@@ -17,20 +22,24 @@
 
     val isKnown: Boolean get() = asked.isNotEmpty()
 
-    fun isAsked(workerId: String): Boolean = workerId in asked
+    fun isAsked(life: WorkerLife): Boolean = life in asked
 
-    fun mayRunOn(workerId: String): Boolean = workerId in tickets
+    fun mayRunOn(life: WorkerLife): Boolean = life in tickets
 
-    fun ticketFor(workerId: String, nowMs: Long): String? =
-        tickets[workerId]?.takeIf { it.validUntilMs > nowMs }?.ticket
+    fun ticketFor(life: WorkerLife, nowMs: Long): String? = tickets[life]?.takeIf { it.validUntilMs > nowMs }?.ticket
 
-    fun record(askedWorkers: List<String>, answer: List<AdviceTicket>, validUntilMs: Long) {
+    /** Takes in an answer, which leaves out the workers that may not run the step. */
+    fun record(askedWorkers: List<WorkerLife>, answer: List<AdviceTicket>, validUntilMs: Long) {
         asked += askedWorkers
-        for (advice in answer) tickets[advice.workerId] = HeldTicket(advice.ticket, validUntilMs)
+        val ticketOf = answer.associate { it.workerId to it.ticket }
+        for (life in askedWorkers) {
+            val ticket = ticketOf[life.workerId]
+            if (ticket == null) tickets.remove(life) else tickets[life] = HeldTicket(ticket, validUntilMs)
+        }
     }
 
     /** The worker refused the ticket, for instance because it has started again. */
-    fun expire(workerId: String) {
-        tickets.computeIfPresent(workerId) { _, held -> held.copy(validUntilMs = Long.MIN_VALUE) }
+    fun expire(life: WorkerLife) {
+        tickets.computeIfPresent(life) { _, held -> held.copy(validUntilMs = Long.MIN_VALUE) }
     }
 }
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/PlannerPartsTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/PlannerPartsTest.kt
@@ -100,17 +100,42 @@
         assertTrue(abs(book.slownessOf(fast)) < 1.0)
     }
 
+    private val lifeA = WorkerLife("a", 1)
+    private val lifeB = WorkerLife("b", 1)
+
     /** Guards against a ticket that is used after its validity or after the worker refused it. */
     @Test
     fun `tickets expire but the choice of workers stays`() {
         val advice = StepAdvice()
-        advice.record(listOf("a", "b"), listOf(AdviceTicket("a", "t")), validUntilMs = 100)
-        assertEquals("t", advice.ticketFor("a", 99))
-        assertNull(advice.ticketFor("a", 100))
-        assertTrue(advice.mayRunOn("a"))
-        assertFalse(advice.mayRunOn("b"))
-        advice.expire("a")
-        assertNull(advice.ticketFor("a", 0))
+        advice.record(listOf(lifeA, lifeB), listOf(AdviceTicket("a", "t")), validUntilMs = 100)
+        assertEquals("t", advice.ticketFor(lifeA, 99))
+        assertNull(advice.ticketFor(lifeA, 100))
+        assertTrue(advice.mayRunOn(lifeA))
+        assertFalse(advice.mayRunOn(lifeB))
+        advice.expire(lifeA)
+        assertNull(advice.ticketFor(lifeA, 0))
+    }
+
+    /** Guards against a task that waits for ever for a ticket of a worker that came back as another kind (LOST). */
+    @Test
+    fun `a worker that starts again is asked for anew`() {
+        val advice = StepAdvice()
+        advice.record(listOf(lifeA), listOf(AdviceTicket("a", "t")), validUntilMs = 100)
+        val secondLife = WorkerLife("a", 2)
+        assertFalse(advice.isAsked(secondLife))
+        assertFalse(advice.mayRunOn(secondLife))
+        advice.record(listOf(secondLife), emptyList(), validUntilMs = 200)
+        assertTrue(advice.isAsked(secondLife))
+        assertFalse(advice.mayRunOn(secondLife))
+    }
+
+    /** Guards against a task that stays planned on a worker that a later answer leaves out. */
+    @Test
+    fun `a later answer replaces an earlier one`() {
+        val advice = StepAdvice()
+        advice.record(listOf(lifeA), listOf(AdviceTicket("a", "t")), validUntilMs = 100)
+        advice.record(listOf(lifeA), emptyList(), validUntilMs = 200)
+        assertFalse(advice.mayRunOn(lifeA))
     }
 
     /** Guards against ends that are acknowledged before the progress that they change is stored. */
