Let the leases of a lost worker end

The leader looked at it every 150 ms, and each look offered a lease of 10 s, so its leases never counted as over and its tasks were never started elsewhere. It showed rarely, because workers mostly come back with a new life, or a takeover counts the time anew.

Change: looks at a worker that does not answer grant no lease; the first answer brings the next one.

TakeoverTest: a job on a worker that crashes and does not come back never ended; now it ends within two lease times.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -73,7 +73,9 @@
 
     private fun orderAt(now: Long): HoldOrder {
         worker.acknowledge(context.savedChange)
-        val leaseUntil = if (worker.clock.isKnown) worker.clock.nowOnWorker(now) + context.bounds.maxLeaseMs else null
+        // A look that may get no answer grants no lease: otherwise the leases of a lost worker would never be over.
+        val isGranted = worker.clock.isKnown && worker.isReachable
+        val leaseUntil = if (isGranted) worker.clock.nowOnWorker(now) + context.bounds.maxLeaseMs else null
         leaseUntil?.let { worker.clock.extendLease(it) }
         val waitMs = if (worker.isContacted && worker.unsavedEnds.isEmpty()) LOOK_WAIT_MS else 0
         return HoldOrder(context.term, worker.acknowledgedEnd, leaseUntil, waitMs)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
@@ -3,6 +3,7 @@
 
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.standins.cluster.MAX_LEASE_MS
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -112,6 +113,18 @@
         assertEquals(emptyList<String>(), trial.workers.judge.violations)
     }
 
+    /** Guards against tasks that wait for ever for a worker that is lost for good, without a takeover (LOST). */
+    @Test
+    fun `tasks of a worker that is lost start elsewhere when its leases are over`() = runTest {
+        val trial = SchedulerTrial(this, seed = 13, workerCount = 2)
+        trial.lead()
+        trial.submit(JOB, step(replicas = 4, cores = 8, durationMs = 2_000))
+        trial.awaitThat { trial.workers.judge.starts == 4 }
+        trial.workers.crash("w0")
+        assertTrue(trial.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 2 * MAX_LEASE_MS))
+        assertEquals(emptyList<String>(), trial.workers.judge.violations)
+    }
+
     /** Guards against takeovers that read every job of the day, and against an ended job that starts again. */
     @Test
     fun `a takeover reads open jobs only, and a repeated submission of an ended one starts nothing`() = runTest {
