Revert the advice on the workers that a step needs

Tried: a first call for 30 workers or as many as were likely to have room, later calls for the planned workers and three more.

A next try has to renew all tickets that end before the call does, and to ask wide gangs for more room than they need.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDesk.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDesk.kt
@@ -18,10 +18,8 @@
     public val ask: suspend (StepName, List<String>) -> List<AdviceTicket>?,
 )
 
-/** Weight of one call for a queue's share of workers that may run a step. */
-private const val SHARE_WEIGHT = 0.2
-private const val INITIAL_GOOD_SHARE = 0.4
-private const val MIN_GOOD_SHARE = 0.1
+/** Most workers that one call may name. */
+private const val MAX_WORKERS_IN_CALL = 100
 
 /** Calls that take longer than this use at most [LONG_CALL_SHARE] of the callers. */
 private const val LONG_CALL_MS = 60.0
@@ -42,21 +40,17 @@
     private val busy = HashSet<String>()
     private val busyWithLong = HashSet<String>()
     private val pausedUntilMs = HashMap<String, Long>()
-    private val goodShares = HashMap<String, Double>()
-    private val selection =
-        AdviceSelection(context.fleet.speeds::slownessOf) { goodShares[it] ?: INITIAL_GOOD_SHARE }
 
     /** Asks for the steps in their order, as far as callers are idle. */
-    fun ask(needs: List<AdviceNeed>) {
+    fun ask(steps: List<TrackedStep>) {
         val now = context.clock()
         val usable = callers().filter { (pausedUntilMs[it.name] ?: Long.MIN_VALUE) <= now }
         val maxLong = (usable.size * LONG_CALL_SHARE).toInt().coerceAtLeast(1)
         val idle = ArrayDeque(usable.filter { it.name !in busy })
-        val wanting = needs.filter { !it.step.advice.isInFlight && it.step.advice.notBeforeMs <= now }
-        for (need in wanting) {
+        val wanting = steps.filter { !it.advice.isInFlight && it.advice.notBeforeMs <= now }
+        for (step in wanting) {
             val caller = idle.firstOrNull() ?: return
-            val step = need.step
-            val workers = selection.workersToAsk(need, eligible(step), now).map { it.life }
+            val workers = workersToAsk(step, now)
             val isLong = durationMs(step, workers.size) > LONG_CALL_MS
             if (workers.isEmpty() || isLong && busyWithLong.size >= maxLong) continue
             idle.removeFirst()
@@ -67,6 +61,16 @@
     private fun durationMs(step: TrackedStep, workers: Int): Double =
         step.job.terms.advice?.let { it.decisionMs + it.perWorkerMs * workers } ?: 0.0
 
+    /** All eligible workers the first time; afterwards those that may run the step and those not asked for yet. */
+    private fun workersToAsk(step: TrackedStep, now: Long): List<WorkerLife> {
+        val advice = step.advice
+        return eligible(step)
+            .filter { !advice.isAsked(it.life) || advice.mayRunOn(it.life) && advice.ticketFor(it.life, now) == null }
+            .sortedByDescending { it.free.processorsMillicores }
+            .take(MAX_WORKERS_IN_CALL)
+            .map { it.life }
+    }
+
     private fun send(caller: AdviceCaller, step: TrackedStep, workers: List<WorkerLife>, isLong: Boolean) {
         busy += caller.name
         if (isLong) busyWithLong += caller.name
@@ -93,7 +97,6 @@
             context.log.event("advice_failed", "step" to step.name, "caller" to caller.name)
             return
         }
-        learnShare(step, workers, answer.size)
         val validityMs = step.job.terms.advice?.validityMs ?: 0
         step.advice.record(workers, answer, now + validityMs - TICKET_TRANSIT_MS)
         context.metrics.advice("answered")
@@ -105,13 +108,4 @@
             "caller" to caller.name,
         )
     }
-
-    /** Only workers not asked for before tell the share; the others are known to be good. */
-    private fun learnShare(step: TrackedStep, workers: List<WorkerLife>, good: Int) {
-        val fresh = workers.count { !step.advice.isAsked(it) }
-        if (fresh == 0) return
-        val known = workers.size - fresh
-        val share = ((good - known).toDouble() / fresh).coerceIn(MIN_GOOD_SHARE, 1.0)
-        goodShares.merge(step.job.terms.queue, share) { old, new -> old + SHARE_WEIGHT * (new - old) }
-    }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -37,17 +37,11 @@
 /** Weight of a worker on which the task has failed before. */
 private const val FAILED_BEFORE_WEIGHT = 8.0
 
-/** Weight of a worker whose ticket has expired, where a call for a new one takes long. */
-private const val NEW_TICKET_WEIGHT = 1.0
-
-/** Calls that take less than this hardly delay a step; those of long renders take about a second. */
-private const val SLOW_ADVICE_MS = 100.0
-
 /** Run numbers of a term start above those of all earlier terms. */
 private const val RUNS_PER_TERM = 10_000L
 
 /** The starts of a round and the steps that need tickets before they can start. */
-internal class Plan(val starts: List<PlannedStart>, val adviceNeeded: List<AdviceNeed>)
+internal class Plan(val starts: List<PlannedStart>, val adviceNeeded: List<TrackedStep>)
 
 internal class Planner(
     private val context: TermContext,
@@ -92,7 +86,7 @@
         private val tasksWithStrayRuns = fleet.tasksWithStrayRuns()
         private var waitingGangs = 0
         val starts = ArrayList<PlannedStart>()
-        val adviceNeeded = ArrayList<AdviceNeed>()
+        val adviceNeeded = ArrayList<TrackedStep>()
 
         fun place(step: TrackedStep) {
             val tasks = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
@@ -102,13 +96,16 @@
                 workers.any { !step.advice.isAsked(it.life) } &&
                 !step.advice.isKnown
             ) {
-                adviceNeeded += AdviceNeed(step, emptyList(), tasks.size)
+                adviceNeeded += step
                 return
             }
             val chosen = assign(step, tasks, workers)
-            if (step.description.isGang && chosen.size < tasks.size) return waitAsGang(step, tasks.size, workers)
-            val unplaced = if (step.needsMoreAdvice(workers)) tasks.size - chosen.size else 0
-            startOrAsk(step, chosen, unplaced)
+            when {
+                chosen.size == tasks.size -> startOrAsk(step, chosen)
+                step.description.isGang -> waitAsGang(step, tasks.size, workers)
+                chosen.isNotEmpty() -> startOrAsk(step, chosen)
+                step.needsMoreAdvice(workers) -> adviceNeeded += step
+            }
         }
 
         private fun TrackedStep.needsMoreAdvice(workers: List<TrackedWorker>) =
@@ -169,25 +166,17 @@
             val isRemote = description.dataRack?.let { it !in worker.entry.labels } ?: false
             return speedCost(worker, slowestInTime) + leftOver +
                 (if (isRemote) REMOTE_WEIGHT else 0.0) +
-                (if (worker.id in task.failedOn) FAILED_BEFORE_WEIGHT else 0.0) +
-                (if (needsNewTicket(task.step, worker)) NEW_TICKET_WEIGHT else 0.0)
-        }
-
-        private fun needsNewTicket(step: TrackedStep, worker: TrackedWorker): Boolean {
-            val advice = step.job.terms.advice ?: return false
-            return advice.decisionMs >= SLOW_ADVICE_MS && step.advice.ticketFor(worker.life, now) == null
+                (if (worker.id in task.failedOn) FAILED_BEFORE_WEIGHT else 0.0)
         }
 
         /** Starts what has a valid ticket; otherwise keeps the room until the tickets have come. */
-        private fun startOrAsk(step: TrackedStep, chosen: List<Pair<TrackedTask, TrackedWorker>>, unplacedTasks: Int) {
+        private fun startOrAsk(step: TrackedStep, chosen: List<Pair<TrackedTask, TrackedWorker>>) {
             chosen.forEach { (_, worker) -> room.take(worker, step.room) }
             val needsTicket = step.job.terms.advice != null
             val ready = chosen.filter { (_, worker) -> !needsTicket || step.advice.ticketFor(worker.life, now) != null }
             val isStarting = ready.size == chosen.size || !step.description.isGang
-            if (ready.size < chosen.size || unplacedTasks > 0) {
-                adviceNeeded += AdviceNeed(step, chosen.map { it.second }, unplacedTasks)
-            }
-            if (!isStarting || ready.isEmpty()) return
+            if (ready.size < chosen.size) adviceNeeded += step
+            if (!isStarting) return
             val run = nextRun(step)
             ready.mapTo(starts) { (task, worker) ->
                 val number = if (step.description.isGang) run else maxOf(task.lastRun + 1, firstRun())
@@ -201,7 +190,7 @@
 
         /** Keeps free room for a gang that does not fit now, if it can ever fit on the workers that may run it. */
         private fun waitAsGang(step: TrackedStep, count: Int, workers: List<TrackedWorker>) {
-            if (step.needsMoreAdvice(workers)) adviceNeeded += AdviceNeed(step, emptyList(), count)
+            if (step.needsMoreAdvice(workers)) adviceNeeded += step
             val allowed = workers.filter { step.job.terms.advice == null || step.advice.mayRunOn(it.life) }
             val couldFit = allowed.sumOf { step.room.countIn(it.entry.capacity).coerceAtMost(count).toLong() }
             if (couldFit < count || waitingGangs >= MAX_WAITING_GANGS) return
