--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/CandidateOrder.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/CandidateOrder.kt
@@ -18,10 +18,13 @@
 /** Upper bound, for days on which most of the stronger processes are down. */
 private const val MAX_RANK_DELAY_MS = 400L
 
-/** Processors of the largest machine for which a process that knows no others does not wait. */
+/** A process that knows no others does not wait if it has the largest machine that the sites use. */
 private const val LARGEST_CAPACITY = 2.0
+
+/** All machines of a site start within 300 ms of each other, which is the wait of the smallest one. */
 private const val DELAY_PER_PROCESSOR_MS = 150.0
 
+/** A handover of 7 calls, each with 400 ms before the next one, ends before the time-out of the last one. */
 private const val STRONGEST_ASKED = 4
 private const val OTHERS_ASKED = 3
 
