--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -22,6 +22,9 @@
     public const val LEADER_NOTES: String = "notes"
     public val ROSTER_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "roster")
     public val SPEEDS_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "speeds")
+
+    /** Its version changes with each write of the journal, so that one without an answer cannot take effect later. */
+    public val JOURNAL_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "journal")
     public val WAITING_ROW: RowId = RowId(LEADER_NOTES, LEADER_PART, "waiting")
 
     /** Accepted jobs and cancellations; any process writes here. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -1,7 +1,9 @@
 /**
  * Stores the progress of jobs, many in one transaction, under the condition that this process still leads.
  *
- * An end is acknowledged to its worker, and a job is shown as ended, only after its row is stored.
+ * An end is acknowledged to its worker, and a job is shown as ended, only after its row is stored. A write without an
+ * answer may take effect seconds later: each write requires the journal row as the last one left it, so that an older
+ * write cannot replace the rows of a newer one.
  */
 package dev.bronzeshore.scheduler
 
@@ -21,7 +23,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** A transaction takes 100 entries; four are kept for the roster, the counts, the speeds and the sign of life. */
+/** A transaction takes 100 entries; the others are kept for the rows that go along. */
 private const val MAX_JOBS_IN_BATCH = 90
 
 /** Shortest time between two writes; each one costs a priced call, and a job's end waits for at most this long. */
@@ -38,14 +40,16 @@
     private var countsAtMs = Long.MIN_VALUE / 2
     private var speedsAtMs = context.clock()
     private var savedRoster: Set<RosterWorker> = emptySet()
+    private var journalRowVersion = 0L
 
     fun wake() {
         wake.trySend(Unit)
     }
 
-    /** The roster that a former leader left. */
-    fun adoptRoster(workers: List<RosterWorker>) {
+    /** The roster that a former leader left, and the version of its last write. */
+    fun adopt(workers: List<RosterWorker>, journalRowVersion: Long) {
         savedRoster = workers.toSet()
+        this.journalRowVersion = journalRowVersion
     }
 
     suspend fun run() {
@@ -77,13 +81,17 @@
                             encodeRow(WorkerRosterRow.serializer(), WorkerRosterRow(it.toList())),
                         )
                     },
-                ) + listOfNotNull(beat, dueSpeeds())
+                ) + listOfNotNull(beat, dueSpeeds(), RowWrite(Tables.JOURNAL_ROW, ByteArray(0)))
         val phases = batch.jobs.associateWith { it.phase }
         val startedAtMs = context.clock()
-        val condition = RowCondition(Tables.TERM_ROW, context.termRowVersion)
-        val outcome = context.store.transact(StoreTransaction(conditions = listOf(condition), writes = writes))
+        val conditions = listOf(
+            RowCondition(Tables.TERM_ROW, context.termRowVersion),
+            RowCondition(Tables.JOURNAL_ROW, journalRowVersion),
+        )
+        val outcome = context.store.transact(StoreTransaction(conditions = conditions, writes = writes))
         context.metrics.journalWrite(outcome::class.simpleName.orEmpty(), context.clock() - startedAtMs)
         if (outcome is StoreOutcome.Applied) {
+            journalRowVersion = outcome.version
             if (beat != null) context.renewal.renewed(startedAtMs)
             saved(batch, phases, counts, roster)
             return true
@@ -92,10 +100,17 @@
         // The store may hold the roster that was sent: it has to be written again before tasks start by an older one.
         if (roster != null && outcome is StoreOutcome.Unknown) savedRoster = emptySet()
         context.log.event("journal_failed", "jobs" to batch.jobs.size, "outcome" to outcome::class.simpleName)
-        if (outcome is StoreOutcome.Conflict) context.onDeposed()
+        if (outcome is StoreOutcome.Conflict) resolve(outcome)
         return false
     }
 
+    /** Either another process leads, or an earlier write without an answer has taken effect. */
+    private suspend fun resolve(conflict: StoreOutcome.Conflict) {
+        val isLeader = conflict.rows.any { it.id == Tables.TERM_ROW && it.version == context.termRowVersion }
+        if (!isLeader) return context.onDeposed()
+        journalRowVersion = conflict.rows.firstOrNull { it.id == Tables.JOURNAL_ROW }?.version ?: 0
+    }
+
     private fun saved(
         batch: ChangeBatch,
         phases: Map<TrackedJob, JobPhase>,
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -57,7 +57,7 @@
         // Jobs that have ended need no decoding; after some minutes they are most of the table.
         intake.rows.filterNot { context.book.isEnded(it.id.key) }.forEach { takeIntake(it, lifecycle) }
         workers.rows.map { dependencies.decodeWorker(it) }.forEach { registry.addListed(it) }
-        journal.adoptRoster(roster)
+        journal.adopt(roster, notes.rows.firstOrNull { it.id == Tables.JOURNAL_ROW }?.version ?: 0)
         roster.forEach { registry.addFormer(it) }
         notes.rows.firstOrNull { it.id == Tables.SPEEDS_ROW }?.value?.let { restoreSpeeds(it) }
         context.log.event(
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
@@ -113,6 +113,27 @@
         assertEquals(emptyList<String>(), trial.workers.judge.violations)
     }
 
+    /** Guards against progress that an older write without an answer replaces seconds later (TWICE). */
+    @Test
+    fun `a late write of the journal does not undo a newer one`() = runTest {
+        val trial = SchedulerTrial(this, seed = 14, workerCount = 2)
+        trial.lead()
+        trial.submit(JOB, step(replicas = 2, cores = 4, durationMs = 300), step(1, 4, 500, after = listOf(0)))
+        trial.awaitThat { trial.workers.judge.starts == 2 }
+        trial.store.faults.lateByMs = 3_000
+        trial.store.faults.lostAnswers = 1.0
+        trial.awaitThat { trial.workers.judge.starts == 3 }
+        delay(100)
+        trial.store.faults.lostAnswers = 0.0
+        trial.awaitThat { trial.phaseOf(JOB) == JobPhase.COMPLETED }
+        delay(4_000)
+        assertEquals(JobPhase.COMPLETED, trial.phaseOf(JOB))
+        trial.stopLeader()
+        trial.lead()
+        delay(3_000)
+        assertEquals(emptyList<String>(), trial.workers.judge.violations)
+    }
+
     /** Guards against tasks that wait for ever for a worker that is lost for good, without a takeover (LOST). */
     @Test
     fun `tasks of a worker that is lost start elsewhere when its leases are over`() = runTest {
