Ask the advice service about as many workers as a step needs, in parallel

Cause: on the large site a step asked about 100 workers in one call. A call of the patient queue takes 637 ms and 9.1 ms a worker, a ticket holds for 2 s and 30% of the workers are good, so wide gangs collected their tickets from calls one after another and the first ones ran out. A second wait: the workers asked again were those with the most free capacity, not those that were chosen.

Change: a step asks about the workers that it is expected to need, split into calls of 30 workers that run at the same time; later calls renew the tickets of chosen workers only. The planner keeps one record for each worker in a round and pauses for twice the time that a round took.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
@@ -2,7 +2,8 @@
  * Asks the advice service which workers may run a step.
  *
  * The advice service handles one call at a time for each calling machine, so the leader spreads its calls over all
- * processes. Long calls may use only a part of the processes, so that a short call need not wait behind a long one.
+ * processes and splits a question about many workers into calls that run in parallel. Long calls may use only a part
+ * of the processes, so that a short call need not wait behind a long one.
  */
 package dev.bronzeshore.scheduler
 
@@ -18,8 +19,12 @@
     public val ask: suspend (StepName, List<String>) -> List<AdviceTicket>?,
 )
 
+/** Most workers that one call may name. */
 private const val MAX_WORKERS_IN_CALL = 100
 
+/** Workers in each of several parallel calls; with fewer, most of the total time is spent on fixed costs. */
+private const val WORKERS_IN_PARALLEL_CALL = 30
+
 /** Calls that take longer than this use at most [LONG_CALL_SHARE] of the clients. */
 private const val LONG_CALL_MS = 60.0
 private const val LONG_CALL_SHARE = 0.75
@@ -31,53 +36,35 @@
 /** A client whose call failed is skipped for this time. */
 private const val CLIENT_PAUSE_MS = 2_000L
 
-internal class AdviceDispatcher(
-    private val context: TermContext,
-    private val clients: () -> List<AdviceClient>,
-    private val eligibleWorkers: (TrackedStep) -> List<TrackedWorker>,
-) {
+internal class AdviceDispatcher(private val context: TermContext, private val clients: () -> List<AdviceClient>) {
     private val busyClients = HashSet<String>()
     private val clientsInLongCall = HashSet<String>()
     private val pausedUntilMs = HashMap<String, Long>()
 
-    /** Sends calls for the steps in their order, as long as there are idle clients. */
-    fun ask(steps: List<TrackedStep>) {
+    /** Sends calls for the needs in their order, as long as there are idle clients. */
+    fun ask(needs: List<AdviceNeed>) {
+        if (needs.isEmpty()) return
         val now = context.clock()
         val usableClients = clients().filter { (pausedUntilMs[it.name] ?: Long.MIN_VALUE) <= now }
         val maxLong = (usableClients.size * LONG_CALL_SHARE).toInt().coerceAtLeast(1)
         val idleClients = ArrayDeque(usableClients.filter { it.name !in busyClients })
-        val due = steps.filter { !it.advice.isInFlight && it.advice.notBeforeMs <= now }
-        for (step in due) {
-            val client = idleClients.firstOrNull() ?: return
-            val workers = workersToAsk(step, now)
-            val isLong = durationMs(step, workers.size) > LONG_CALL_MS
-            if (workers.isEmpty() || isLong && clientsInLongCall.size >= maxLong) continue
-            idleClients.removeFirst()
-            send(client, step, workers, isLong)
+        for (need in needs) {
+            if (idleClients.isEmpty()) return
+            val isLong = durationMs(need.step, minOf(need.workers.size, WORKERS_IN_PARALLEL_CALL)) > LONG_CALL_MS
+            val available = if (isLong) minOf(idleClients.size, maxLong - clientsInLongCall.size) else idleClients.size
+            splitIntoCalls(need.workers, available).forEach {
+                send(idleClients.removeFirst(), need.step, it, isLong)
+            }
         }
     }
 
     private fun durationMs(step: TrackedStep, workers: Int): Double =
         step.job.terms.advice?.let { it.decisionMs + it.perWorkerMs * workers } ?: 0.0
 
-    /** Eligible workers that were not asked about yet, and those that may run the step but have no valid ticket. */
-    private fun workersToAsk(step: TrackedStep, now: Long): List<WorkerIncarnation> {
-        val advice = step.advice
-        return eligibleWorkers(step)
-            .filter {
-                !advice.isAsked(it.incarnation) ||
-                    advice.mayRunOn(it.incarnation) &&
-                    advice.ticketFor(it.incarnation, now) == null
-            }
-            .sortedByDescending { it.free.processorsMillicores }
-            .take(MAX_WORKERS_IN_CALL)
-            .map { it.incarnation }
-    }
-
     private fun send(client: AdviceClient, step: TrackedStep, workers: List<WorkerIncarnation>, isLong: Boolean) {
         busyClients += client.name
         if (isLong) clientsInLongCall += client.name
-        step.advice.isInFlight = true
+        step.advice.beginCall(workers)
         context.scope.launch {
             try {
                 val answer = client.ask(step.name, workers.map { it.workerId })
@@ -85,7 +72,7 @@
             } finally {
                 busyClients -= client.name
                 clientsInLongCall -= client.name
-                step.advice.isInFlight = false
+                step.advice.endCall(workers)
                 context.wakePlanner()
             }
         }
@@ -107,6 +94,7 @@
         }
         val validityMs = step.job.terms.advice?.validityMs ?: 0
         step.advice.record(workers, answer, now + validityMs - TICKET_TRANSIT_MS)
+        context.adviceShares.record(step.job.terms.queue, workers.size, answer.size)
         context.metrics.advice("answered")
         context.log.event(
             "advice",
@@ -117,3 +105,13 @@
         )
     }
 }
+
+/** Splits [workers] evenly into at most [maxCalls] calls; workers beyond their capacity are left for a later round. */
+internal fun <T> splitIntoCalls(workers: List<T>, maxCalls: Int): List<List<T>> {
+    if (workers.isEmpty() || maxCalls <= 0) return emptyList()
+    val calls = minOf(maxCalls, ceilDiv(workers.size, WORKERS_IN_PARALLEL_CALL))
+    val size = ceilDiv(workers.size, calls).coerceAtMost(MAX_WORKERS_IN_CALL)
+    return workers.chunked(size).take(calls)
+}
+
+private fun ceilDiv(total: Int, divisor: Int): Int = (total + divisor - 1) / divisor
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -27,6 +27,12 @@
 /** Pause after a planning round; changes that arrive meanwhile are planned together. */
 private const val ROUND_PAUSE_MS = 4L
 
+/**
+ * Pause after a round as a multiple of its duration. It leaves two thirds of the control thread to callers, reports
+ * and renewals when many steps wait.
+ */
+private const val PAUSE_PER_ROUND_TIME = 2L
+
 /** Longest time between two rounds, for starts that wait for a point in time. */
 private const val MAX_ROUND_INTERVAL_MS = 100L
 private const val MAINTENANCE_PERIOD_MS = 250L
@@ -74,8 +80,7 @@
         val recovery = Recovery(context, dependencies, lifecycle, registry, journal)
         val planner = Planner(context, recovery::mayStart)
         val starter = TaskStarter(context, stopper)
-        val advice =
-            AdviceDispatcher(context, dependencies.adviceClients) { planner.eligibleWorkers(it, context.clock()) }
+        val advice = AdviceDispatcher(context, dependencies.adviceClients)
         val wakePlanner = Channel<Unit>(Channel.CONFLATED)
         context.wakePlanner = { wakePlanner.trySend(Unit) }
         context.wakeJournal = journal::wake
@@ -88,10 +93,13 @@
         launch { maintain(registry, StallDetector(context, stopper, quarantine)) }
         while (true) {
             withTimeoutOrNull(MAX_ROUND_INTERVAL_MS) { wakePlanner.receive() }
+            val startedAtMs = context.clock()
             val plan = planner.plan()
             plan.starts.forEach(starter::start)
-            advice.ask(plan.adviceNeeded)
-            delay(ROUND_PAUSE_MS)
+            advice.ask(plan.adviceNeeds)
+            val durationMs = context.clock() - startedAtMs
+            context.metrics.planningRound(durationMs)
+            delay(maxOf(ROUND_PAUSE_MS, PAUSE_PER_ROUND_TIME * durationMs))
         }
     }
 
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -0,0 +1,137 @@
+/** Places the waiting steps of one planning round, one after the other. */
+package dev.bronzeshore.scheduler
+
+/** Gangs that reserve capacity at the same time; more would leave too many workers idle. */
+private const val MAX_GANG_RESERVATIONS = 3
+
+/**
+ * Time for which a waiting gang keeps its rank although it has become late. Without it, capacity that the gang had
+ * partly collected goes to newer small tasks, and a gang never starts while all workers are busy.
+ */
+private const val GANG_RESERVATION_MS = 5_000L
+
+/** A waiting gang with workers for this share of its members renews their tickets, so that it can start at once. */
+private const val RENEWAL_SHARE = 0.7
+
+private class Assignment(val task: TrackedTask, val target: RoundWorker)
+
+internal class PlanningRound(
+    private val context: TermContext,
+    private val now: Long,
+    private val firstRunNumber: Long,
+) {
+    private val workersByService = HashMap<String, List<RoundWorker>>()
+    private val tasksWithStrayRuns = context.workerPool.tasksWithStrayRuns()
+    private var gangReservations = 0
+    val starts = ArrayList<PlannedStart>()
+    val adviceNeeds = ArrayList<AdviceNeed>()
+
+    fun place(step: TrackedStep) {
+        val tasks = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
+        if (tasks.isEmpty() || step.description.isGang && tasks.size < step.tasks.size) return
+        val workers = workersFor(step)
+        val good = if (step.needsAdvice) workers.filter { step.advice.mayRunOn(it.worker.incarnation) } else workers
+        val assignments = assign(step, tasks, good)
+        val missing = tasks.size - assignments.size
+        if (missing > 0 && step.needsAdvice) explore(step, tasks.size, missing, workers)
+        when {
+            missing == 0 -> startOrRenew(step, assignments)
+
+            step.description.isGang -> {
+                if (assignments.size >= RENEWAL_SHARE * tasks.size) renewTickets(step, assignments)
+                reserveForGang(step, tasks.size, good)
+            }
+
+            assignments.isNotEmpty() -> startOrRenew(step, assignments)
+        }
+    }
+
+    private val TrackedStep.needsAdvice: Boolean get() = job.terms.advice != null
+
+    /** Workers that accept tasks now and are large enough for the step, whether they have free capacity or not. */
+    private fun workersFor(step: TrackedStep): List<RoundWorker> {
+        val label = step.description.requiredLabel
+        val demand = step.taskDemand
+        return workersOf(step.job.terms.service).filter {
+            (label == null || label in it.worker.entry.labels) &&
+                demand.fitsIn(it.worker.entry.capacity)
+        }
+    }
+
+    private fun workersOf(service: String) = workersByService.getOrPut(service) {
+        val pool = context.workerPool
+        pool.accepting(service, now).map { RoundWorker(it, pool.speeds.slownessOf(it)) }.sortedBy { it.slowness }
+    }
+
+    /** Picks a worker for each task, as far as capacity lasts; fewer than all tasks of a gang are not started. */
+    private fun assign(step: TrackedStep, tasks: List<TrackedTask>, good: List<RoundWorker>): List<Assignment> {
+        val demand = step.taskDemand
+        val candidates = good.filter { demand.fitsIn(it.free) }.map { PlacementCandidate(it, step) }
+        if (candidates.isEmpty()) return emptyList()
+        val costs = PlacementCosts(step, now)
+        candidates.forEach { it.baseCost = costs.baseCost(it.target) }
+        val result = ArrayList<Assignment>()
+        for (task in tasks) {
+            val chosen = candidates.filter { it.hasRoom }.minByOrNull { it.costFor(task) } ?: break
+            chosen.take()
+            result += Assignment(task, chosen.target)
+        }
+        return result
+    }
+
+    /** Asks about further workers, if no call of the step is in flight. */
+    private fun explore(step: TrackedStep, pending: Int, missing: Int, workers: List<RoundWorker>) {
+        if (!step.advice.mayExplore(now)) return
+        val unasked = workers.filter { !step.advice.isAsked(it.worker.incarnation) }
+        val (withRoom, withoutRoom) = unasked.partition { step.taskDemand.fitsIn(it.free) }
+        val share = context.adviceShares.goodShare(step.job.terms.queue)
+        val chosen = workersToAsk(
+            AdviceShortage(pending, missing, step.advice.goodCount, share),
+            withRoom.sortedByDescending { it.free.processorsMillicores / it.slowness },
+            withoutRoom,
+        )
+        if (chosen.isNotEmpty()) adviceNeeds += AdviceNeed(step, chosen.map { it.worker.incarnation })
+    }
+
+    private fun renewTickets(step: TrackedStep, assignments: List<Assignment>) {
+        if (!step.needsAdvice) return
+        val expired = assignments.map { it.target.worker.incarnation }.distinct()
+            .filter { step.advice.ticketFor(it, now) == null && step.advice.mayAskAbout(it, now) }
+        if (expired.isNotEmpty()) adviceNeeds += AdviceNeed(step, expired)
+    }
+
+    /** Starts the tasks with valid tickets and reserves the capacity of the others until their tickets arrive. */
+    private fun startOrRenew(step: TrackedStep, assignments: List<Assignment>) {
+        assignments.forEach { it.target.reserve(step.taskDemand) }
+        val ready = assignments.filter {
+            !step.needsAdvice || step.advice.ticketFor(it.target.worker.incarnation, now) != null
+        }
+        if (ready.size < assignments.size) {
+            renewTickets(step, assignments)
+            if (step.description.isGang) return
+        }
+        val gangRun = maxOf(step.tasks.maxOf { it.lastRun } + 1, firstRunNumber)
+        ready.mapTo(starts) {
+            val run = if (step.description.isGang) gangRun else maxOf(it.task.lastRun + 1, firstRunNumber)
+            val worker = it.target.worker
+            PlannedStart(it.task, worker, run, step.advice.ticketFor(worker.incarnation, now))
+        }
+    }
+
+    /** Reserves free capacity for a gang that does not fit now but would fit on the good workers when idle. */
+    private fun reserveForGang(step: TrackedStep, count: Int, good: List<RoundWorker>) {
+        val fittingTasks = good.sumOf { it.fittingWhenIdle(step, count).toLong() }
+        if (fittingTasks < count || gangReservations >= MAX_GANG_RESERVATIONS) return
+        gangReservations++
+        step.reserve(now + GANG_RESERVATION_MS)
+        var unplaced = count
+        for (target in good) {
+            if (unplaced <= 0) break
+            unplaced -= target.fittingWhenIdle(step, unplaced)
+            target.reserveAll()
+        }
+    }
+
+    private fun RoundWorker.fittingWhenIdle(step: TrackedStep, limit: Int): Int =
+        step.taskDemand.countIn(worker.entry.capacity).coerceAtMost(limit)
+}
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -9,5 +9,6 @@
     /** Time from acceptance to the end of a job, by queue and phase. */
     public val jobEnded: (queue: String, phase: String, durationMs: Long) -> Unit = { _, _, _ -> },
     public val advice: (outcome: String) -> Unit = {},
+    public val planningRound: (durationMs: Long) -> Unit = {},
     public val invariantBroken: () -> Unit = {},
 )
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
@@ -15,21 +15,36 @@
 internal class StepAdvice {
     private val tickets = HashMap<WorkerIncarnation, CachedTicket>()
     private val asked = HashSet<WorkerIncarnation>()
-    var isInFlight: Boolean = false
+
+    /** Workers of the calls that are in flight. */
+    private val inFlight = HashSet<WorkerIncarnation>()
 
     /** Monotonic time before which the service is not called again, after a failed call. */
     var notBeforeMs: Long = Long.MIN_VALUE
 
-    val isKnown: Boolean get() = asked.isNotEmpty()
+    /** Workers that may run the step, as far as known. */
+    val goodCount: Int get() = tickets.size
 
     fun isAsked(incarnation: WorkerIncarnation): Boolean = incarnation in asked
 
     fun mayRunOn(incarnation: WorkerIncarnation): Boolean = incarnation in tickets
 
-    fun ticketFor(incarnation: WorkerIncarnation, nowMs: Long): String? = tickets[incarnation]?.takeIf {
-        it.validUntilMs >
-            nowMs
-    }?.ticket
+    fun ticketFor(incarnation: WorkerIncarnation, nowMs: Long): String? =
+        tickets[incarnation]?.takeIf { it.validUntilMs > nowMs }?.ticket
+
+    /** New workers are asked about only after all earlier calls have been answered. */
+    fun mayExplore(nowMs: Long): Boolean = inFlight.isEmpty() && notBeforeMs <= nowMs
+
+    fun mayAskAbout(incarnation: WorkerIncarnation, nowMs: Long): Boolean =
+        notBeforeMs <= nowMs && incarnation !in inFlight
+
+    fun beginCall(workers: List<WorkerIncarnation>) {
+        inFlight += workers
+    }
+
+    fun endCall(workers: List<WorkerIncarnation>) {
+        inFlight -= workers.toSet()
+    }
 
     /** Records an answer, which leaves out the workers that may not run the step. */
     fun record(askedWorkers: List<WorkerIncarnation>, answer: List<AdviceTicket>, validUntilMs: Long) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -37,6 +37,7 @@
     val log = EventLog("scheduler")
     val workerPool = WorkerPool()
     val jobRegistry = JobRegistry()
+    val adviceShares = AdviceShares()
     val changes = UnsavedChanges()
 
     /** All changes up to this number are stored. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -36,6 +36,13 @@
             else -> tasks.filter { !it.isDone && it.placement == null }
         }
 
+    /** The same as a non-empty [pendingTasks], without building the list. */
+    val hasPendingTasks: Boolean
+        get() = when {
+            description.isGang && tasks.any { it.placement != null } -> false
+            else -> tasks.any { !it.isDone && it.placement == null }
+        }
+
     /** Wall-clock time at which the step is due, or null if it is due at once. */
     val dueAtMs: Long?
         get() = job.accepted.description.schedule?.let { it.firstDueMs + occurrence * it.periodMs }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
@@ -23,8 +23,10 @@
     fun withId(workerId: String): List<TrackedWorker> = byIncarnation.values.filter { it.id == workerId }
 
     /** Tasks with a run on some worker that is to be stopped: another run must wait for its end. */
-    fun tasksWithStrayRuns(): Set<TaskName> = byIncarnation.values.flatMapTo(HashSet()) {
-        it.strayRuns.map(TaskRun::task)
+    fun tasksWithStrayRuns(): Set<TaskName> {
+        val tasks = HashSet<TaskName>()
+        for (worker in byIncarnation.values) worker.strayRuns.mapTo(tasks, TaskRun::task)
+        return tasks
     }
 
     /** Workers of a service that take new tasks now. */
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -21,6 +21,7 @@
     private val advice = counter("bronzeshore_advice_calls_total", "Calls for advice by outcome.", "outcome")
     private val invariantViolations = counter("bronzeshore_invariants_broken_total", "Invariants found broken.")
     private val journal = histogram("bronzeshore_journal_seconds", "Time of a journal write by outcome.", "outcome")
+    private val planningRounds = histogram("bronzeshore_planning_round_seconds", "Time of a planning round.")
     private val jobs =
         histogram("bronzeshore_job_seconds", "Time from acceptance to the end of a job.", "queue", "phase")
 
@@ -38,6 +39,7 @@
         journalWrite = { outcome, ms -> journal.labelValues(outcome).observe(ms / MS_PER_SECOND) },
         jobEnded = { queue, phase, ms -> jobs.labelValues(queue, phase).observe(ms / MS_PER_SECOND) },
         advice = { advice.labelValues(it).inc() },
+        planningRound = { planningRounds.observe(it / MS_PER_SECOND) },
         invariantBroken = { invariantViolations.inc() },
     )
 
