--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobDescription.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobDescription.kt
@@ -74,7 +74,10 @@
     public val decisionMs: Double,
     public val perWorkerMs: Double,
     public val validityMs: Long,
-)
+) {
+    /** Time that the service takes for a call about so many workers. */
+    public fun durationMs(workers: Int): Long = (decisionMs + perWorkerMs * workers).toLong()
+}
 
 /** An accepted job as stored. */
 @Serializable
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -1,6 +1,7 @@
 /** Tables and partitions of the store that hold bronzeshore's own state. */
 package dev.bronzeshore.core.cluster
 
+import arrow.core.Either
 import dev.bronzeshore.core.WireCbor
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
@@ -68,7 +69,7 @@
 public fun <T> encodeRow(serializer: KSerializer<T>, value: T): ByteArray =
     WireCbor.encodeToByteArray(serializer, value)
 
-/** Decodes a row of bronzeshore's own tables; throws [IllegalArgumentException] if it is malformed. */
+/** Decodes a row of bronzeshore's own tables; a left result says why it is malformed. */
 @OptIn(ExperimentalSerializationApi::class)
-public fun <T> decodeRow(serializer: KSerializer<T>, bytes: ByteArray): T =
-    WireCbor.decodeFromByteArray(serializer, bytes)
+public fun <T> decodeRow(serializer: KSerializer<T>, bytes: ByteArray): Either<String, T> =
+    Either.catch { WireCbor.decodeFromByteArray(serializer, bytes) }.mapLeft { it.message ?: "malformed" }
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Worker.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Worker.kt
@@ -97,6 +97,8 @@
         public val workerClockMs: Long,
         public val running: List<RunningTask>,
         public val ends: List<TaskEnd>,
+        /** False if some entries could not be decoded; a run that is not listed may then be running all the same. */
+        public val isWhole: Boolean = true,
     ) : HoldAnswer
 
     /** The worker has seen a higher fencing token: there is a newer leader. */
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
@@ -1,6 +1,7 @@
 /** Serves job requests from the store, so that any process can answer for any job. */
 package dev.bronzeshore.intake
 
+import arrow.core.getOrElse
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.cluster.AcceptedJob
@@ -68,7 +69,13 @@
     private suspend fun progressOf(jobId: String): StateAnswer {
         val rows = readJobRows(Tables.PROGRESS, Tables.LEADER_PARTITION, jobId) ?: return StateAnswer.Unavailable
         val value = rows.firstOrNull { it.id.key == jobId }?.value ?: return StateAnswer.NoSuchJob
-        return StateAnswer.Found(decodeRow(JobProgress.serializer(), value).phase)
+        return decodeRow(JobProgress.serializer(), value).fold(
+            ifLeft = { cause ->
+                log.event("progress_malformed", "job" to jobId, "cause" to cause)
+                StateAnswer.Unavailable
+            },
+            ifRight = { StateAnswer.Found(it.phase) },
+        )
     }
 
     private suspend fun readJobRows(table: String, partition: String, jobId: String): List<StoredRow>? =
@@ -103,7 +110,13 @@
         )
         val page = store.readPage(query).getOrNull() ?: return
         countsReadAtMs = clock()
-        waitingCounts = page.rows.firstOrNull()?.value?.let { decodeRow(WaitingCounts.serializer(), it) }
-            ?: WaitingCounts(emptyMap())
+        waitingCounts = page.rows.firstOrNull()?.value?.let { decodeCounts(it) } ?: WaitingCounts(emptyMap())
     }
+
+    /** Keeps the counts of before if the row is malformed; the leader soon writes it again. */
+    private fun decodeCounts(value: ByteArray): WaitingCounts? =
+        decodeRow(WaitingCounts.serializer(), value).getOrElse {
+            log.event("counts_malformed", "cause" to it)
+            waitingCounts
+        }
 }
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -18,6 +18,7 @@
 import dev.bronzeshore.core.cluster.SubmitAnswer
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.encodeRow
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -49,7 +50,7 @@
     private val pending = Channel<PendingJob>(MAX_PENDING_JOBS)
 
     init {
-        scope.launch { while (true) write(nextBatch()) }
+        scope.launch { while (true) writeOrAnswerUnknown(nextBatch()) }
     }
 
     suspend fun submit(job: AcceptedJob): SubmitAnswer {
@@ -64,6 +65,16 @@
         return batch
     }
 
+    /** An unexpected error ends this batch only; its callers learn that the outcome is unknown. */
+    private suspend fun writeOrAnswerUnknown(batch: List<PendingJob>) = try {
+        write(batch)
+    } catch (failure: CancellationException) {
+        throw failure
+    } catch (failure: Exception) {
+        log.event("unexpected_error", "work" to "submission", "cause" to failure.stackTraceToString())
+        batch.answerAll(SubmitAnswer.Unknown("unexpected error"))
+    }
+
     private suspend fun write(batch: List<PendingJob>) {
         var open = batch
         var isUncertain = false
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderTracker.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderTracker.kt
@@ -11,6 +11,7 @@
 import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.decodeRow
+import kotlinx.serialization.KSerializer
 
 /** A leader renews three times within this time; a shorter timeout mistakes a pause of the JVM for a lost leader. */
 internal const val LEADER_TIMEOUT_MS = 1_400L
@@ -46,7 +47,7 @@
     private fun observeTerm(row: StoredRow) {
         val value = row.value
         if (value == null || row.version <= termVersion) return
-        term = decode(row) { decodeRow(TermRow.serializer(), value) } ?: return
+        term = decode(row, TermRow.serializer(), value) ?: return
         termVersion = row.version
         silentSinceMs = null
     }
@@ -54,7 +55,7 @@
     private fun observeHeartbeat(row: StoredRow) {
         val value = row.value
         if (value == null || row.version <= heartbeatVersion) return
-        heartbeat = decode(row) { decodeRow(HeartbeatRow.serializer(), value) } ?: return
+        heartbeat = decode(row, HeartbeatRow.serializer(), value) ?: return
         heartbeatVersion = row.version
         heartbeatSeenAtMs?.let { heartbeatInterval.observe(clock() - it) }
         heartbeatSeenAtMs = clock()
@@ -86,10 +87,6 @@
         return (since + timeoutMs - clock()).coerceIn(0, maxMs)
     }
 
-    private fun <T> decode(row: StoredRow, parse: () -> T): T? = try {
-        parse()
-    } catch (failure: IllegalArgumentException) {
-        log.warn { "Ignored malformed row ${row.id}: ${failure.message}" }
-        null
-    }
+    private fun <T> decode(row: StoredRow, serializer: KSerializer<T>, value: ByteArray): T? =
+        decodeRow(serializer, value).onLeft { log.warn { "Ignored malformed row ${row.id}: $it" } }.getOrNull()
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
@@ -10,29 +10,31 @@
 import dev.bronzeshore.core.cluster.AdviceTicket
 import dev.bronzeshore.core.cluster.StepName
 import dev.bronzeshore.core.cluster.WorkerIncarnation
-import kotlinx.coroutines.launch
 
 /** A process through which the advice service can be called. */
 public class AdviceClient(
     public val name: String,
     /** Returns null if the call failed. */
-    public val ask: suspend (StepName, List<String>) -> List<AdviceTicket>?,
+    public val ask: suspend (StepName, List<String>, timeoutMs: Long) -> List<AdviceTicket>?,
 )
 
-/** Most workers that one call may name. */
-private const val MAX_WORKERS_IN_CALL = 100
+/** Most workers in one call. The service takes twice as many, but most of a ticket's validity would then be over. */
+private const val MAX_WORKERS_IN_CALL = 50
 
 /** Workers in each of several parallel calls; with fewer, most of the total time is spent on fixed costs. */
 private const val WORKERS_IN_PARALLEL_CALL = 30
 
 /** Calls that take longer than this use at most [LONG_CALL_SHARE] of the clients. */
-private const val LONG_CALL_MS = 60.0
+private const val LONG_CALL_MS = 60L
 private const val LONG_CALL_SHARE = 0.75
 
 /** Part of a ticket's validity that passes in transit from the service and to the worker. */
 private const val TICKET_TRANSIT_MS = 60L
 private const val RETRY_PAUSE_MS = 100L
 
+/** Time beyond the service's own for a call to pass through another process; a longer wait means that it is lost. */
+private const val CALL_MARGIN_MS = 700L
+
 /** A client whose call failed is skipped for this time. */
 private const val CLIENT_PAUSE_MS = 2_000L
 
@@ -58,16 +60,16 @@
         }
     }
 
-    private fun durationMs(step: TrackedStep, workers: Int): Double =
-        step.job.terms.advice?.let { it.decisionMs + it.perWorkerMs * workers } ?: 0.0
+    private fun durationMs(step: TrackedStep, workers: Int): Long = step.job.terms.advice?.durationMs(workers) ?: 0
 
     private fun send(client: AdviceClient, step: TrackedStep, workers: List<WorkerIncarnation>, isLong: Boolean) {
         busyClients += client.name
         if (isLong) clientsInLongCall += client.name
         step.advice.beginCall(workers)
-        context.scope.launch {
+        val timeoutMs = durationMs(step, workers.size) + CALL_MARGIN_MS
+        context.launchGuarded("advice") {
             try {
-                val answer = client.ask(step.name, workers.map { it.workerId })
+                val answer = client.ask(step.name, workers.map { it.workerId }, timeoutMs)
                 handleAnswer(client, step, workers, answer)
             } finally {
                 busyClients -= client.name
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -4,6 +4,7 @@
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.EndKind
 import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.TaskEnd
 
 /** Pause before a task starts again after a run that failed, was lost or was stopped; avoids a busy loop. */
@@ -32,6 +33,12 @@
         context.wakePlanner()
     }
 
+    /** Sets a job aside whose row cannot be decoded; it stays pending for its caller until the row is repaired. */
+    fun setAside(row: StoredRow, cause: String) {
+        context.reportMalformedRow(row.id, cause)
+        jobs.setAside(row.id.key)
+    }
+
     fun cancel(jobId: String) {
         val job = jobs.cancel(jobId) ?: return
         close(job, JobPhase.CANCELLED, "cancelled by its caller")
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLookup.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLookup.kt
@@ -22,8 +22,10 @@
         return unknown.isEmpty()
     }
 
-    private fun isKnown(jobId: String) =
-        context.jobRegistry.find(jobId) != null || context.jobRegistry.isEnded(jobId) || jobId in absentJobs
+    private fun isKnown(jobId: String) = context.jobRegistry.find(jobId) != null ||
+        context.jobRegistry.isEnded(jobId) ||
+        context.jobRegistry.isSetAside(jobId) ||
+        jobId in absentJobs
 
     private suspend fun read(jobId: String) {
         val query = Tables.rowsOfJob(Tables.INTAKE, Tables.intakePartitionOf(jobId), jobId)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
@@ -15,6 +15,9 @@
     private val ended = LinkedHashMap<String, Long>()
     private val storedProgress = HashMap<String, JobProgress>()
 
+    /** Jobs whose stored rows cannot be decoded: nothing of them is started, and their runs are left alone. */
+    private val setAside = HashSet<String>()
+
     val openJobs: Collection<TrackedJob> get() = open.values
     val allJobs: Collection<TrackedJob> get() = jobs.values
 
@@ -35,9 +38,15 @@
         storedProgress[jobId] = progress
     }
 
+    fun setAside(jobId: String) {
+        setAside += jobId
+    }
+
+    fun isSetAside(jobId: String): Boolean = jobId in setAside
+
     /** Adds an accepted job; returns null if it is known already. */
     fun add(accepted: AcceptedJob, nowMs: Long): TrackedJob? {
-        if (accepted.jobId in jobs || accepted.jobId in ended) return null
+        if (accepted.jobId in jobs || accepted.jobId in ended || accepted.jobId in setAside) return null
         val job = TrackedJob(accepted, nowMs)
         storedProgress.remove(job.id)?.let { job.restore(it) }
         jobs[job.id] = job
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -89,8 +89,8 @@
         launch { followIntake(lifecycle, versions.intake) }
         launch { followWorkers(registry, versions.workers) }
         launch { journal.run() }
-        launch { RowGarbageCollector(context).run() }
-        launch { maintain(registry, StallDetector(context, stopper, quarantine)) }
+        launch { collectGarbage(context) }
+        launch { maintain(context, registry, StallDetector(context, stopper, quarantine)) }
         while (true) {
             withTimeoutOrNull(MAX_ROUND_INTERVAL_MS) { wakePlanner.receive() }
             val startedAtMs = context.clock()
@@ -126,7 +126,7 @@
     }
 
     private suspend fun followWorkers(registry: WorkerRegistry, fromVersion: Long) {
-        followTable(dependencies.workerTable, fromVersion, WORKER_FEED_PAUSE_MS) { rows ->
+        followTable(dependencies.workerTable, fromVersion, WORKER_FEED_PAUSE_MS, registry::onDirectoryFailure) { rows ->
             rows.forEach { registry.apply(dependencies.decodeWorker(it)) }
         }
     }
@@ -136,12 +136,14 @@
         table: String,
         fromVersion: Long,
         pauseMs: Long,
+        onFailure: () -> Unit = {},
         applyRows: (List<StoredRow>) -> Unit,
     ) {
         var version = fromVersion
         while (true) {
             dependencies.store.changes(table, version, CHANGE_FEED_WAIT_MS).fold(
                 ifLeft = { failure ->
+                    onFailure()
                     if (failure is ReadFailure.HistoryGone) {
                         TableReader(dependencies.store).readTable(table)?.let {
                             applyRows(it.rows)
@@ -159,22 +161,29 @@
         }
     }
 
-    private suspend fun maintain(registry: WorkerRegistry, stallDetector: StallDetector) {
+    private suspend fun maintain(context: TermContext, registry: WorkerRegistry, stallDetector: StallDetector) {
         while (true) {
             delay(MAINTENANCE_PERIOD_MS)
-            registry.expireLeases()
-            stallDetector.restartStalledRuns()
+            context.guarded("maintenance") {
+                registry.expireLeases()
+                stallDetector.restartStalledRuns()
+            }
         }
     }
+
+    private suspend fun collectGarbage(context: TermContext) {
+        val collector = RowGarbageCollector(context)
+        while (true) context.guarded("row deletion") { collector.runOnce() }
+    }
 }
 
 /** Applies a row of the intake table: an accepted job or a cancellation. */
 internal fun applyIntakeRow(row: StoredRow, lifecycle: JobLifecycle) {
     val value = row.value ?: return
     val cancelled = Tables.cancelledJobOf(row.id.key)
-    if (cancelled != null) {
-        lifecycle.cancel(cancelled)
-    } else {
-        lifecycle.accept(decodeRow(AcceptedJob.serializer(), value), row.version)
-    }
+    if (cancelled != null) return lifecycle.cancel(cancelled)
+    decodeRow(AcceptedJob.serializer(), value).fold(
+        ifLeft = { lifecycle.setAside(row, it) },
+        ifRight = { lifecycle.accept(it, row.version) },
+    )
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlacementCandidate.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlacementCandidate.kt
@@ -22,6 +22,9 @@
 /** Weight of running on another rack than the input data. */
 private const val REMOTE_WEIGHT = 2.0
 
+/** Weight of a worker that a gang has reserved: more urgent steps may use it, but leave it to the gang if they can. */
+private const val RESERVED_WEIGHT = 1.5
+
 /** Weight of a worker on which the task has failed before. */
 private const val FAILED_BEFORE_WEIGHT = 8.0
 
@@ -33,9 +36,10 @@
     fun baseCost(target: RoundWorker): Double {
         val worker = target.worker
         val isRemote = step.description.dataRack?.let { it !in worker.entry.labels } ?: false
-        val needsTicket = ticketWaitCost > 0 && step.advice.ticketFor(worker.incarnation, now) == null
+        val needsTicket = ticketWaitCost > 0 && !step.advice.hasOrExpectsTicket(worker.incarnation, now)
+        val isReserved = target.reservedFor != null && target.reservedFor !== step
         return speedCost(target.slowness) + (if (isRemote) REMOTE_WEIGHT else 0.0) +
-            (if (needsTicket) ticketWaitCost else 0.0)
+            (if (needsTicket) ticketWaitCost else 0.0) + (if (isReserved) RESERVED_WEIGHT else 0.0)
     }
 
     /** How slow a worker may be, relative to a typical one, for the step's job to end within its objective. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -1,8 +1,11 @@
 /** Places the waiting steps of one planning round, one after the other. */
 package dev.bronzeshore.scheduler
 
-/** Gangs that reserve capacity at the same time; more would leave too many workers idle. */
-private const val MAX_GANG_RESERVATIONS = 3
+/** Gangs may reserve this share of a service's workers; more would leave too much capacity idle. */
+private const val MAX_RESERVED_SHARE = 0.25
+
+/** On a small fleet, so many gangs may reserve capacity whatever their share is. */
+private const val MIN_GANG_RESERVATIONS = 3
 
 /**
  * Time for which a waiting gang keeps its rank although it has become late. Without it, capacity that the gang had
@@ -10,8 +13,11 @@
  */
 private const val GANG_RESERVATION_MS = 5_000L
 
-/** A waiting gang with workers for this share of its members renews their tickets, so that it can start at once. */
-private const val RENEWAL_SHARE = 0.7
+/** A step that can partly start does not ask about fewer new workers than this: most of a call's cost is fixed. */
+private const val MIN_WORTH_ASKING = 4
+
+/** A gang that knows good workers for this many times its members waits for them instead of asking about others. */
+private const val ENOUGH_KNOWN = 1.5
 
 private class Assignment(val task: TrackedTask, val target: RoundWorker)
 
@@ -23,6 +29,7 @@
     private val workersByService = HashMap<String, List<RoundWorker>>()
     private val tasksWithStrayRuns = context.workerPool.tasksWithStrayRuns()
     private var gangReservations = 0
+    private val reservedWorkers = HashMap<String, Int>()
     val starts = ArrayList<PlannedStart>()
     val adviceNeeds = ArrayList<AdviceNeed>()
 
@@ -36,12 +43,7 @@
         if (missing > 0 && step.needsAdvice) explore(step, tasks.size, missing, workers)
         when {
             missing == 0 -> startOrRenew(step, assignments)
-
-            step.description.isGang -> {
-                if (assignments.size >= RENEWAL_SHARE * tasks.size) renewTickets(step, assignments)
-                reserveForGang(step, tasks.size, good)
-            }
-
+            step.description.isGang -> reserveForGang(step, tasks.size, good)
             assignments.isNotEmpty() -> startOrRenew(step, assignments)
         }
     }
@@ -81,10 +83,16 @@
 
     /** Asks about further workers, if no call of the step is in flight. */
     private fun explore(step: TrackedStep, pending: Int, missing: Int, workers: List<RoundWorker>) {
-        if (!step.advice.mayExplore(now)) return
+        if (!step.advice.mayAsk(now)) return
         val unasked = workers.filter { !step.advice.isAsked(it.worker.incarnation) }
         val (withRoom, withoutRoom) = unasked.partition { step.taskDemand.fitsIn(it.free) }
         val share = context.adviceShares.goodShare(step.job.terms.queue)
+        if (step.advice.isKnown &&
+            !isWorthAsking(step, missing, withRoom, share) &&
+            hasEnoughGood(step, workers)
+        ) {
+            return
+        }
         val chosen = workersToAsk(
             AdviceShortage(pending, missing, step.advice.goodCount, share),
             withRoom.sortedByDescending { it.free.processorsMillicores / it.slowness },
@@ -93,11 +101,29 @@
         if (chosen.isNotEmpty()) adviceNeeds += AdviceNeed(step, chosen.map { it.worker.incarnation })
     }
 
+    /** True if the new workers with room are expected to help: a gang needs places for all missing members. */
+    private fun isWorthAsking(step: TrackedStep, missing: Int, withRoom: List<RoundWorker>, share: Double): Boolean {
+        if (!step.description.isGang) return withRoom.size >= minOf(MIN_WORTH_ASKING, missing)
+        return share * withRoom.sumOf { step.taskDemand.countIn(it.free).coerceAtMost(missing) } >= missing
+    }
+
+    private fun hasEnoughGood(step: TrackedStep, workers: List<RoundWorker>): Boolean {
+        val wanted = if (step.description.isGang) ENOUGH_KNOWN * step.tasks.size else 1.0
+        val places = workers.filter { step.advice.mayRunOn(it.worker.incarnation) }
+            .sumOf { it.fittingWhenIdle(step, step.tasks.size) }
+        return places >= wanted
+    }
+
+    /**
+     * Renews the tickets of the chosen workers in one go. All of them must hold when the answers arrive, so tickets
+     * that would expire meanwhile are renewed as well; a gang never starts if it renews them one by one.
+     */
     private fun renewTickets(step: TrackedStep, assignments: List<Assignment>) {
-        if (!step.needsAdvice) return
-        val expired = assignments.map { it.target.worker.incarnation }.distinct()
-            .filter { step.advice.ticketFor(it, now) == null && step.advice.mayAskAbout(it, now) }
-        if (expired.isNotEmpty()) adviceNeeds += AdviceNeed(step, expired)
+        if (!step.advice.mayAsk(now)) return
+        val chosen = assignments.map { it.target.worker.incarnation }.distinct()
+        val answeredAtMs = now + (step.job.terms.advice?.durationMs(chosen.size) ?: 0)
+        val expiring = chosen.filter { step.advice.ticketFor(it, answeredAtMs) == null }
+        if (expiring.isNotEmpty()) adviceNeeds += AdviceNeed(step, expiring)
     }
 
     /** Starts the tasks with valid tickets and reserves the capacity of the others until their tickets arrive. */
@@ -121,14 +147,18 @@
     /** Reserves free capacity for a gang that does not fit now but would fit on the good workers when idle. */
     private fun reserveForGang(step: TrackedStep, count: Int, good: List<RoundWorker>) {
         val fittingTasks = good.sumOf { it.fittingWhenIdle(step, count).toLong() }
-        if (fittingTasks < count || gangReservations >= MAX_GANG_RESERVATIONS) return
+        val service = step.job.terms.service
+        val reserved = reservedWorkers[service] ?: 0
+        val isShareUsed = reserved >= MAX_RESERVED_SHARE * workersOf(service).size
+        if (fittingTasks < count || gangReservations >= MIN_GANG_RESERVATIONS && isShareUsed) return
         gangReservations++
         step.reserve(now + GANG_RESERVATION_MS)
         var unplaced = count
-        for (target in good) {
+        for (target in good.sortedBy { it.reservationCost(step) }) {
             if (unplaced <= 0) break
             unplaced -= target.fittingWhenIdle(step, unplaced)
-            target.reserveAll()
+            target.reserveFor(step)
+            reservedWorkers.merge(service, 1, Int::plus)
         }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -8,6 +8,8 @@
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.RosterWorker
+import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.WorkerRosterRow
 import dev.bronzeshore.core.cluster.WorkerSpeedsRow
@@ -17,6 +19,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.serialization.KSerializer
 
 private const val RETRY_MS = 100L
 
@@ -44,22 +47,14 @@
         val notes = contents.getValue(Tables.LEADER_STATE)
         val progress = contents.getValue(Tables.PROGRESS)
         val intake = contents.getValue(Tables.INTAKE)
-        val roster = notes.rows.firstOrNull { it.id == Tables.ROSTER_ROW }?.value
-            ?.let { decodeRow(WorkerRosterRow.serializer(), it).workers }.orEmpty()
-        for (row in progress.rows) {
-            val stored = row.value?.let { decodeRow(JobProgress.serializer(), it) } ?: continue
-            if (stored.phase.isEnded) {
-                context.jobRegistry.recordEnded(row.id.key, stored.endedAtMs ?: context.wallClock())
-            } else {
-                context.jobRegistry.recordProgress(row.id.key, stored)
-            }
-        }
+        val roster = readRoster(notes)
+        progress.rows.forEach { restoreProgress(it) }
         // Ended jobs are not decoded: after some minutes they are most of the table.
         intake.rows.filterNot { context.jobRegistry.isEnded(it.id.key) }.forEach { applyIntakeRow(it, lifecycle) }
         workers.rows.map { dependencies.decodeWorker(it) }.forEach { registry.addListed(it) }
         journal.adopt(roster, notes.rows.firstOrNull { it.id == Tables.JOURNAL_ROW }?.version ?: 0)
         roster.forEach { registry.addFormer(it) }
-        notes.rows.firstOrNull { it.id == Tables.SPEEDS_ROW }?.value?.let { restoreSpeeds(it) }
+        notes.rows.firstOrNull { it.id == Tables.SPEEDS_ROW }?.let { restoreSpeeds(it) }
         context.log.event(
             "recovery_loaded",
             "term" to context.term,
@@ -79,8 +74,30 @@
         return true
     }
 
-    private fun restoreSpeeds(value: ByteArray) {
-        val stored = decodeRow(WorkerSpeedsRow.serializer(), value).logSlowness
+    private fun readRoster(notes: TableContent): List<RosterWorker> {
+        val row = notes.rows.firstOrNull { it.id == Tables.ROSTER_ROW } ?: return emptyList()
+        return row.decoded(WorkerRosterRow.serializer())?.workers ?: run {
+            registry.isRosterUnknown = true
+            emptyList()
+        }
+    }
+
+    /** A job whose progress cannot be decoded is set aside: to start it anew could repeat what has run. */
+    private fun restoreProgress(row: StoredRow) {
+        val stored = row.decoded(JobProgress.serializer()) ?: return context.jobRegistry.setAside(row.id.key)
+        if (stored.phase.isEnded) {
+            context.jobRegistry.recordEnded(row.id.key, stored.endedAtMs ?: context.wallClock())
+        } else {
+            context.jobRegistry.recordProgress(row.id.key, stored)
+        }
+    }
+
+    private fun <T> StoredRow.decoded(serializer: KSerializer<T>): T? = value?.let { bytes ->
+        decodeRow(serializer, bytes).onLeft { context.reportMalformedRow(id, it) }.getOrNull()
+    }
+
+    private fun restoreSpeeds(row: StoredRow) {
+        val stored = row.decoded(WorkerSpeedsRow.serializer())?.logSlowness ?: return
         context.workerPool.workers.forEach { worker -> stored[worker.id]?.let { worker.speed.restore(it) } }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -27,8 +27,15 @@
         if (!worker.isReachable) context.wakeJournal()
         worker.markReachable()
         for (end in report.ends) if (end.number > worker.lastEndNumber) handleEnd(worker, end)
-        for (running in report.running) handleRunning(worker, running, now)
-        if (report.ends.size < MAX_ENDS_IN_REPORT) removeMissing(worker, report, requestedAtMs)
+        for (running in report.running) handleRunning(worker, running, RunEvidence(now, report.workerClockMs))
+        when {
+            !report.isWhole -> {
+                context.metrics.malformedReport()
+                context.log.event("report_malformed", "worker" to worker.id, "running" to report.running.size)
+            }
+
+            report.ends.size < MAX_ENDS_IN_REPORT -> removeMissing(worker, report, requestedAtMs)
+        }
         if (!worker.isContacted) {
             worker.isContacted = true
             context.log.event(
@@ -54,33 +61,30 @@
         worker.unsavedEnds += UnsavedEnd(end.number, context.changes.lastNumber())
     }
 
-    private fun handleRunning(worker: TrackedWorker, running: RunningTask, now: Long) {
+    private fun handleRunning(worker: TrackedWorker, running: RunningTask, evidence: RunEvidence) {
         val placement = worker.placement(running.run)
         when {
-            placement != null -> update(placement, running, now)
+            placement != null -> update(placement, running, evidence)
             running.run in worker.strayRuns -> Unit
-            !adopt(worker, running, now) -> addStray(worker, running.run)
+            !adopt(worker, running, evidence) -> addStray(worker, running.run)
         }
     }
 
-    private fun update(placement: Placement, running: RunningTask, now: Long) {
+    private fun update(placement: Placement, running: RunningTask, evidence: RunEvidence) {
+        val now = evidence.receivedAtMs
         if (placement.state == PlacementState.ORDERED) {
             placement.state = PlacementState.RUNNING
             placement.confirmedAtMs = now
         }
-        if (running.percent > placement.percent) {
-            placement.progressAtMs = now
-            placement.percent = running.percent
-            observeSpeed(placement, now)
-        }
+        if (placement.progress.observe(running.percent, evidence)) observeSpeed(placement, now)
         running.checkpoint?.let { placement.task.checkpoint = it }
     }
 
     /** Members of a gang are as fast as the slowest one and say nothing about their own worker. */
     private fun observeSpeed(placement: Placement, now: Long) {
         val step = placement.task.step.description
-        if (!placement.isSpeedSample || placement.percent < MIN_PERCENT_FOR_SPEED) return
-        val impliedMs = (now - placement.orderedAtMs) * PERCENT / placement.percent
+        if (!placement.isSpeedSample || placement.progress.percent < MIN_PERCENT_FOR_SPEED) return
+        val impliedMs = (now - placement.orderedAtMs) * PERCENT / placement.progress.percent
         context.workerPool.speeds.observe(
             placement.task.step.job.terms.queue,
             placement.worker,
@@ -89,15 +93,15 @@
     }
 
     /** Adopts a run that a former leader started if its task still needs it; otherwise returns false. */
-    private fun adopt(worker: TrackedWorker, running: RunningTask, now: Long): Boolean {
+    private fun adopt(worker: TrackedWorker, running: RunningTask, evidence: RunEvidence): Boolean {
         val task = context.jobRegistry.task(running.run.task) ?: return false
         val isWanted = task.step.job.isOpen && !task.isDone && task.placement == null && running.run.run >= task.lastRun
         if (!isWanted) return false
-        val placement = Placement(task, worker, running.run, now)
+        val placement = Placement(task, worker, running.run, evidence.receivedAtMs)
         placement.state = PlacementState.RUNNING
         placement.isAdopted = true
-        placement.confirmedAtMs = now
-        placement.percent = running.percent
+        placement.confirmedAtMs = evidence.receivedAtMs
+        placement.progress.observe(running.percent, evidence)
         task.placement = placement
         task.lastRun = running.run.run
         task.hasStarted = true
@@ -111,6 +115,7 @@
         // The demand of a forgotten job is unknown: nothing else starts on the worker until the run has ended.
         val demand: Resources = context.jobRegistry.task(run.task)?.step?.taskDemand ?: worker.entry.capacity
         worker.addStray(run, demand)
+        if (context.jobRegistry.isSetAside(run.task.jobId)) return
         stopper.stopStray(worker, run, "the run is not wanted on this worker")
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
@@ -7,16 +7,31 @@
     var free: Resources = worker.free
         private set
 
+    /** The gang that reserved the worker in the previous round. */
+    val reservedFor: TrackedStep? = worker.reservedFor.also { worker.reservedFor = null }
+
     /** Takes capacity from the steps that are planned later. */
     fun reserve(demand: Resources) {
         free -= demand
     }
 
-    fun reserveAll() {
+    /** Keeps all free capacity for a gang; the next round prefers the same worker for it. */
+    fun reserveFor(gang: TrackedStep) {
         free = Resources.NONE
+        worker.reservedFor = gang
+    }
+
+    /** Order in which a gang reserves workers: those that it has, then fast ones that are soon free. */
+    fun reservationCost(gang: TrackedStep): Double {
+        if (reservedFor === gang) return slowness - KEPT_RESERVATION_BONUS
+        val capacity = worker.entry.capacity.processorsMillicores.coerceAtLeast(1)
+        return slowness - free.processorsMillicores.toDouble() / capacity
     }
 }
 
+/** Larger than any difference in slowness and free capacity, so that a gang does not change its workers. */
+private const val KEPT_RESERVATION_BONUS = 100.0
+
 /** How many times this amount fits into [available]. */
 internal fun Resources.countIn(available: Resources): Int = minOf(
     timesIn(processorsMillicores, available.processorsMillicores),
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
@@ -25,12 +25,11 @@
     /** Ended jobs whose accepted rows this leader has deleted. */
     private val jobsWithoutAcceptedRow = HashSet<String>()
 
-    suspend fun run() {
-        while (true) {
-            delay(COLLECTION_PERIOD_MS)
-            deleteAcceptedRows()
-            deleteExpiredJobs()
-        }
+    /** Waits for one period and deletes what has become due. */
+    suspend fun runOnce() {
+        delay(COLLECTION_PERIOD_MS)
+        deleteAcceptedRows()
+        deleteExpiredJobs()
     }
 
     /** Deletes the accepted rows of jobs whose end is stored. */
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunProgress.kt
@@ -0,0 +1,41 @@
+/**
+ * Progress of a run as its worker reports it.
+ *
+ * Whether a run stands still is judged by the worker's clock in its reports. The leader's own time says nothing: after
+ * a pause of the leader, or while a report is late, it has moved on without news of a run that goes on.
+ */
+package dev.bronzeshore.scheduler
+
+/** Times of a report: when the leader received it, and what the worker's clock showed in it. */
+internal data class RunEvidence(val receivedAtMs: Long, val workerClockMs: Long)
+
+internal class RunProgress {
+    var percent: Int = 0
+        private set
+
+    /** The last report of the run. */
+    private var last: RunEvidence? = null
+
+    /** The report in which the progress last increased, or the first one. */
+    private var increased: RunEvidence? = null
+
+    /** Records a report; true if the run has advanced. */
+    fun observe(reportedPercent: Int, evidence: RunEvidence): Boolean {
+        last = evidence
+        if (increased != null && reportedPercent <= percent) return false
+        increased = evidence
+        return (reportedPercent > percent).also { percent = maxOf(percent, reportedPercent) }
+    }
+
+    /** Time of the worker's clock that passed without progress, as far as its reports show. */
+    fun stalledForMs(): Long = elapsed { it.workerClockMs }
+
+    /** Time on the leader's clock since the last increase; says only that a report is due. */
+    fun silentForMs(nowMs: Long): Long = increased?.let { nowMs - it.receivedAtMs } ?: 0
+
+    private fun elapsed(clock: (RunEvidence) -> Long): Long {
+        val from = increased ?: return 0
+        val to = last ?: return 0
+        return clock(to) - clock(from)
+    }
+}
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunStopper.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunStopper.kt
@@ -3,7 +3,6 @@
 
 import dev.bronzeshore.core.cluster.TaskRun
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 
 /** Pause between two stop requests for the same run. */
 private const val STOP_RETRY_MS = 250L
@@ -15,7 +14,7 @@
         placement.state = PlacementState.STOPPING
         placement.confirmedAtMs = null
         log(placement.run, placement.worker, reason)
-        context.scope.launch {
+        context.launchGuarded("stop") {
             repeatUntilConfirmed(placement.worker, placement.run) { placement.worker.placement(placement.run) != null }
             placement.confirmedAtMs = context.clock()
         }
@@ -24,7 +23,7 @@
     /** Stops a run that the worker must not have. */
     fun stopStray(worker: TrackedWorker, run: TaskRun, reason: String) {
         log(run, worker, reason)
-        context.scope.launch { repeatUntilConfirmed(worker, run) { run in worker.strayRuns } }
+        context.launchGuarded("stop") { repeatUntilConfirmed(worker, run) { run in worker.strayRuns } }
     }
 
     private suspend fun repeatUntilConfirmed(worker: TrackedWorker, run: TaskRun, isNeeded: () -> Boolean) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -10,5 +10,11 @@
     public val jobEnded: (queue: String, phase: String, durationMs: Long) -> Unit = { _, _, _ -> },
     public val advice: (outcome: String) -> Unit = {},
     public val planningRound: (durationMs: Long) -> Unit = {},
+    /** An unexpected error ended a piece of work, named by the argument. */
+    public val unexpectedError: (work: String) -> Unit = {},
+    /** A stored row could not be decoded. */
+    public val malformedRow: () -> Unit = {},
+    /** A worker's report could not be decoded whole. */
+    public val malformedReport: () -> Unit = {},
     public val invariantBroken: () -> Unit = {},
 )
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StallDetector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StallDetector.kt
@@ -20,25 +20,39 @@
     private val stopper: RunStopper,
     private val quarantine: Quarantine,
 ) {
+    /** Workers with a request for a report in flight. */
+    private val probed = HashSet<TrackedWorker>()
+
     fun restartStalledRuns() {
         val now = context.clock()
         for (worker in context.workerPool.workers.filter { it.isContacted && it.isReachable }) {
             val running = worker.placements.filter { it.isMonitored }
-            val stalled = running.filter { isStalled(it, now) }
-            stalled.forEach { stopStalled(it, "no progress for ${now - it.progressAtMs} ms") }
+            val stalled = running.filter { it.progress.stalledForMs() > it.patienceMs }
+            stalled.forEach { stopStalled(it, "no progress for ${it.progress.stalledForMs()} ms") }
             val stalledAlone = stalled.count { !it.task.step.description.isGang }
             if (stalledAlone > 0) quarantine.isolate(worker, "$stalledAlone runs make no progress")
+            if (running.any { it !in stalled && it.progress.silentForMs(now) > it.patienceMs }) requestReport(worker)
+        }
+    }
+
+    /** A poll that waits for an end may not show for some time that a run stands still. */
+    private fun requestReport(worker: TrackedWorker) {
+        if (!probed.add(worker)) return
+        context.launchGuarded("stall probe", onError = { probed -= worker }) {
+            worker.probe()
+            probed -= worker
         }
     }
 
     private val Placement.isMonitored: Boolean
-        get() = state == PlacementState.RUNNING && !task.step.description.isService && percent < DONE_PERCENT
+        get() = state == PlacementState.RUNNING && !task.step.description.isService && progress.percent < DONE_PERCENT
 
-    private fun isStalled(placement: Placement, now: Long): Boolean {
-        val step = placement.task.step.description
-        val minimumMs = if (step.isGang) GANG_STALLED_AFTER_MS else STALLED_AFTER_MS
-        return now - placement.progressAtMs > maxOf(minimumMs, (step.estimateMs * STALLED_ESTIMATE_SHARE).toLong())
-    }
+    private val Placement.patienceMs: Long
+        get() {
+            val step = task.step.description
+            val minimumMs = if (step.isGang) GANG_STALLED_AFTER_MS else STALLED_AFTER_MS
+            return maxOf(minimumMs, (step.estimateMs * STALLED_ESTIMATE_SHARE).toLong())
+        }
 
     /** A gang is stopped as a whole; its next run prefers other workers if they have free capacity. */
     private fun stopStalled(placement: Placement, reason: String) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
@@ -22,6 +22,8 @@
     /** Monotonic time before which the service is not called again, after a failed call. */
     var notBeforeMs: Long = Long.MIN_VALUE
 
+    val isKnown: Boolean get() = asked.isNotEmpty()
+
     /** Workers that may run the step, as far as known. */
     val goodCount: Int get() = tickets.size
 
@@ -32,11 +34,11 @@
     fun ticketFor(incarnation: WorkerIncarnation, nowMs: Long): String? =
         tickets[incarnation]?.takeIf { it.validUntilMs > nowMs }?.ticket
 
-    /** New workers are asked about only after all earlier calls have been answered. */
-    fun mayExplore(nowMs: Long): Boolean = inFlight.isEmpty() && notBeforeMs <= nowMs
+    /** The next calls are made only after all earlier ones have been answered. */
+    fun mayAsk(nowMs: Long): Boolean = inFlight.isEmpty() && notBeforeMs <= nowMs
 
-    fun mayAskAbout(incarnation: WorkerIncarnation, nowMs: Long): Boolean =
-        notBeforeMs <= nowMs && incarnation !in inFlight
+    fun hasOrExpectsTicket(incarnation: WorkerIncarnation, nowMs: Long): Boolean =
+        ticketFor(incarnation, nowMs) != null || incarnation in inFlight && incarnation in tickets
 
     fun beginCall(workers: List<WorkerIncarnation>) {
         inFlight += workers
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -6,10 +6,10 @@
  */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.StartAnswer
 import dev.bronzeshore.core.cluster.StartRequest
 import dev.bronzeshore.core.cluster.StartResult
 import dev.bronzeshore.core.cluster.TaskRun
-import kotlinx.coroutines.launch
 
 /** A worker handles a start request within milliseconds; the time covers two lost responses and clock error. */
 private const val START_VALIDITY_MS = 1_000L
@@ -34,7 +34,7 @@
         task.placement = placement
         task.lastRun = planned.run
         planned.worker.add(placement)
-        context.scope.launch { send(placement, planned.ticket) }
+        context.launchGuarded("start") { send(placement, planned.ticket) }
     }
 
     private suspend fun send(placement: Placement, ticket: String?) {
@@ -46,7 +46,7 @@
                 return
             }
             val answer = context.calls.start(placement.worker.entry, requestFor(placement, ticket))
-            if (answer.result != StartResult.UNKNOWN) return handleResult(placement, answer.result, isUncertain)
+            if (answer.result != StartResult.UNKNOWN) return handleAnswer(placement, answer, isUncertain)
             isUncertain = true
             probeSuspect(placement.worker)
         }
@@ -75,7 +75,8 @@
         )
     }
 
-    private suspend fun handleResult(placement: Placement, result: StartResult, isUncertain: Boolean) {
+    private suspend fun handleAnswer(placement: Placement, answer: StartAnswer, isUncertain: Boolean) {
+        val result = answer.result
         context.metrics.start(result.name)
         context.log.event(
             "start",
@@ -84,7 +85,7 @@
             "worker" to placement.worker.id,
             "result" to result,
         )
-        if (result == StartResult.STARTED) return markStarted(placement)
+        if (result == StartResult.STARTED) return markStarted(placement, answer.workerClockMs)
         handleRefusal(placement, result)
         // An earlier request without a response may have started the run: the worker's next report tells.
         if (isUncertain || placement.worker.placement(placement.run) !== placement) return
@@ -95,11 +96,13 @@
         context.wakePlanner()
     }
 
-    private fun markStarted(placement: Placement) {
+    private fun markStarted(placement: Placement, workerClockMs: Long?) {
         placement.task.hasStarted = true
         if (placement.state != PlacementState.ORDERED) return
+        val now = context.clock()
         placement.state = PlacementState.RUNNING
-        placement.confirmedAtMs = context.clock()
+        placement.confirmedAtMs = now
+        workerClockMs?.let { placement.progress.observe(0, RunEvidence(now, it)) }
     }
 
     private suspend fun handleRefusal(placement: Placement, result: StartResult) = when (result) {
@@ -113,7 +116,7 @@
     private fun probeSuspect(worker: TrackedWorker) {
         if (worker.isSuspect) return
         worker.isSuspect = true
-        context.scope.launch { worker.probe() }
+        context.launchGuarded("probe", onError = { worker.isSuspect = false }) { worker.probe() }
     }
 
     private fun pauseWorker(worker: TrackedWorker) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -5,9 +5,13 @@
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.cluster.ClusterBounds
 import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.RowWrite
 import dev.bronzeshore.core.cluster.WorkerCalls
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
 
 /** The leader's heartbeat, which the progress journal writes along with its own rows when it is due. */
 public class TermRenewal(
@@ -46,6 +50,30 @@
     var wakePlanner: () -> Unit = {}
     var wakeJournal: () -> Unit = {}
 
+    /**
+     * Launches [work] in the term. An unexpected error ends this work alone: it is logged and counted, and
+     * [onError] releases what the work held.
+     */
+    fun launchGuarded(name: String, onError: () -> Unit = {}, work: suspend () -> Unit): Job = scope.launch {
+        guarded(name, onError) { work() }
+    }
+
+    suspend fun guarded(name: String, onError: () -> Unit = {}, work: suspend () -> Unit) = try {
+        work()
+    } catch (failure: CancellationException) {
+        throw failure
+    } catch (failure: Exception) {
+        metrics.unexpectedError(name)
+        log.event("unexpected_error", "work" to name, "cause" to failure.stackTraceToString())
+        onError()
+    }
+
+    /** Reports a stored row that cannot be decoded; what it stood for is set aside. */
+    fun reportMalformedRow(id: RowId, cause: String) {
+        metrics.malformedRow()
+        log.event("row_malformed", "table" to id.table, "key" to id.key, "cause" to cause)
+    }
+
     /** Marks the job's progress as changed; returns the number of the change. */
     fun markChanged(job: TrackedJob): Long = changes.add(job).also { wakeJournal() }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -56,8 +56,7 @@
 
     /** Monotonic time at which the worker confirmed the start or the stop. */
     var confirmedAtMs: Long? = null
-    var percent: Int = 0
 
-    /** Monotonic time at which the progress last increased. */
-    var progressAtMs: Long = orderedAtMs
+    /** What the worker's reports say about the progress of the run. */
+    val progress = RunProgress()
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -24,6 +24,9 @@
     /** The worker has seen this leader's fencing token, so it rejects requests of former leaders. */
     var isContacted: Boolean = false
     var isListed: Boolean = true
+
+    /** Monotonic time at which a draining worker whose entry is missing counts as gone; null if that is not open. */
+    var goneIfUnlistedAtMs: Long? = null
     var isReachable: Boolean = true
         private set
 
@@ -44,6 +47,9 @@
     var isOnRoster: Boolean = false
     var quarantinedUntilMs: Long = Long.MIN_VALUE
 
+    /** The gang for which the last planning round reserved this worker. */
+    var reservedFor: TrackedStep? = null
+
     /** Jobs whose tasks failed here since the last success. */
     val failedJobs = HashSet<String>()
     val speed = WorkerSpeedEstimate()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -6,7 +6,6 @@
 import dev.bronzeshore.core.cluster.WorkerChange
 import dev.bronzeshore.core.cluster.WorkerEntry
 import dev.bronzeshore.core.cluster.WorkerIncarnation
-import kotlinx.coroutines.launch
 
 /** Margin for clock error and for the transit of a request, added to the time after which a lease has expired. */
 private const val LEASE_MARGIN_MS = 300L
@@ -14,6 +13,9 @@
 /** A worker's clock may run slow, so that its leases last longer by up to this factor. */
 private const val SLOW_CLOCK_FACTOR = 1.03
 
+/** Entries that expired in an outage of the store are back about two seconds after its end if their workers live. */
+private const val LISTING_GRACE_MS = 2_500L
+
 internal class WorkerRegistry(
     private val context: TermContext,
     private val reports: ReportHandler,
@@ -21,6 +23,7 @@
     private val jobLookup: JobLookup,
 ) {
     private val startedAtMs = context.clock()
+    private var directoryFailedAtMs = Long.MIN_VALUE / 2
 
     /** Monotonic time after which all leases that a former leader granted have expired. */
     private val formerLeasesUntilMs =
@@ -30,6 +33,9 @@
     /** Workers that a former leader may have used, with the jobs that may run there; null stands for any job. */
     private val formerWorkers = HashMap<TrackedWorker, Set<String>?>()
 
+    /** The stored roster cannot be decoded, so that a former leader may have used workers which are not known. */
+    var isRosterUnknown = false
+
     private val unreportedWorkers: List<TrackedWorker>
         get() = if (context.clock() >= formerLeasesUntilMs) {
             emptyList()
@@ -38,11 +44,13 @@
         }
 
     /** True while runs that a former leader started may exist on workers that have not reported yet. */
-    val hasUnknownRuns: Boolean get() = unreportedWorkers.isNotEmpty()
+    val hasUnknownRuns: Boolean get() = hasUnknownWorkers || unreportedWorkers.isNotEmpty()
+
+    private val hasUnknownWorkers: Boolean get() = isRosterUnknown && context.clock() < formerLeasesUntilMs
 
     /** True if such a run may belong to the job. */
     fun mayHaveUnknownRuns(jobId: String): Boolean =
-        unreportedWorkers.any { worker -> formerWorkers[worker]?.contains(jobId) ?: true }
+        hasUnknownWorkers || unreportedWorkers.any { worker -> formerWorkers[worker]?.contains(jobId) ?: true }
 
     /** Adds a worker on which a former leader may have started tasks. */
     fun addFormer(worker: RosterWorker) {
@@ -100,16 +108,38 @@
         )
         val session = WorkerSession(context, worker, reports, jobLookup, ::handleRestart)
         worker.probe = session::probe
-        context.scope.launch { session.run() }
+        context.launchGuarded("worker session") { session.run() }
         context.wakeJournal()
         return worker
     }
 
-    /** A draining worker that is no longer listed has left; any other unlisted worker may still run its tasks. */
+    /** The directory could not be followed; entries may have expired although their workers are alive. */
+    fun onDirectoryFailure() {
+        directoryFailedAtMs = context.clock()
+    }
+
+    /**
+     * A draining worker that is no longer listed has left, unless its entry may have expired in an outage of the
+     * store: then it has left if it is still not listed after the grace and does not answer. Any other unlisted worker
+     * may still run its tasks.
+     */
     private fun unlist(worker: TrackedWorker) {
+        val now = context.clock()
         worker.isListed = false
+        if (now - directoryFailedAtMs < LISTING_GRACE_MS) worker.goneIfUnlistedAtMs = now + LISTING_GRACE_MS
         context.log.event("worker_unlisted", "worker" to worker.id, "draining" to worker.entry.isDraining)
-        if (worker.entry.isDraining) markGone(worker, "the worker has left")
+        if (worker.entry.isDraining && worker.goneIfUnlistedAtMs == null) markGone(worker, "the worker has left")
+    }
+
+    /** Removes draining workers that did not return to the directory after an outage of the store. */
+    private fun removeDeparted(now: Long) {
+        for (worker in context.workerPool.workers.toList()) {
+            val goneAtMs = worker.goneIfUnlistedAtMs ?: continue
+            if (worker.isListed) worker.goneIfUnlistedAtMs = null
+            if (!worker.isListed && worker.entry.isDraining && !worker.isReachable && now >= goneAtMs) {
+                markGone(worker, "the worker has left")
+            }
+        }
     }
 
     private fun handleRestart(worker: TrackedWorker, startedAtMs: Long) {
@@ -122,6 +152,7 @@
     /** Gives up the runs on unreachable workers whose leases have certainly expired, and removes unlisted workers. */
     fun expireLeases() {
         val now = context.clock()
+        removeDeparted(now)
         for (worker in context.workerPool.workers.toList().filter { !it.isReachable || !it.isContacted }) {
             val isOver = if (worker.isContacted) {
                 worker.clock.isLeaseOver(now - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -54,21 +54,27 @@
     /** Polls until the worker's incarnation has ended. */
     suspend fun run() {
         while (!worker.isGone) {
-            val requestedAtMs = context.clock()
-            context.metrics.workerPoll()
-            when (val answer = context.calls.hold(worker.entry, holdRequestAt(requestedAtMs))) {
-                is HoldAnswer.Report -> handleReport(answer, requestedAtMs)
-
-                is HoldAnswer.Fenced -> {
-                    context.log.event("fenced", "worker" to worker.id, "term" to context.term)
-                    context.onLeadershipLost()
-                    delay(RETRY_MS)
-                }
+            var hasFailed = false
+            context.guarded("worker session", onError = { hasFailed = true }) { pollOnce() }
+            if (hasFailed) delay(RETRY_MS)
+        }
+    }
 
-                is HoldAnswer.OtherWorker -> handleFailure("another worker uses its address")
+    private suspend fun pollOnce() {
+        val requestedAtMs = context.clock()
+        context.metrics.workerPoll()
+        when (val answer = context.calls.hold(worker.entry, holdRequestAt(requestedAtMs))) {
+            is HoldAnswer.Report -> handleReport(answer, requestedAtMs)
 
-                is HoldAnswer.Unreachable -> handleFailure(answer.reason)
+            is HoldAnswer.Fenced -> {
+                context.log.event("fenced", "worker" to worker.id, "term" to context.term)
+                context.onLeadershipLost()
+                delay(RETRY_MS)
             }
+
+            is HoldAnswer.OtherWorker -> handleFailure("another worker uses its address")
+
+            is HoldAnswer.Unreachable -> handleFailure(answer.reason)
         }
     }
 
--- /dev/null
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AdviceTest.kt
@@ -0,0 +1,57 @@
+/** How many workers a step asks about, how a question is split into calls, and the learned share of good answers. */
+package dev.bronzeshore.scheduler
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+class AdviceTest {
+    /** Guards against questions about all workers of a large fleet, and about too few to start a step. */
+    @ParameterizedTest
+    @CsvSource(
+        // pending, missing, good, share, with room, without room -> chosen with room, chosen without
+        "39, 39, 0, 0.25, 220, 40, 203, 0",
+        "39, 39, 0, 0.25, 20, 240, 20, 183",
+        "3, 3, 0, 0.7, 200, 0, 16, 0",
+        "8, 2, 6, 0.3, 10, 100, 10, 0",
+        "8, 8, 8, 0.3, 0, 100, 0, 0",
+        "8, 8, 2, 0.25, 0, 100, 0, 32",
+    )
+    fun `asks about the workers that a step is expected to need`(
+        pending: Int,
+        missing: Int,
+        good: Int,
+        share: Double,
+        withRoom: Int,
+        withoutRoom: Int,
+        chosenWithRoom: Int,
+        chosenWithoutRoom: Int,
+    ) {
+        val room = List(withRoom) { "r$it" }
+        val full = List(withoutRoom) { "f$it" }
+        val chosen = workersToAsk(AdviceShortage(pending, missing, good, share), room, full)
+        assertEquals(room.take(chosenWithRoom) + full.take(chosenWithoutRoom), chosen)
+    }
+
+    /** Guards against calls one after another while other processes are idle, and against calls over the limit. */
+    @ParameterizedTest
+    @CsvSource("169, 40, 6, 29", "169, 2, 2, 50", "260, 1, 1, 50", "16, 40, 1, 16", "31, 40, 2, 16", "5, 0, 0, 0")
+    fun `splits a question into parallel calls`(workers: Int, clients: Int, calls: Int, first: Int) {
+        val split = splitIntoCalls(List(workers) { it }, clients)
+        assertEquals(calls, split.size)
+        assertEquals(first, split.firstOrNull()?.size ?: 0)
+        assertEquals(split.flatten().distinct(), split.flatten())
+    }
+
+    /** Guards against a share that one odd answer decides, or that stays at its start value. */
+    @Test
+    fun `learns the share of good answers`() {
+        val shares = AdviceShares()
+        shares.record("q", asked = 2, good = 0)
+        assertTrue(shares.goodShare("q") in 0.2..0.4)
+        repeat(50) { shares.record("q", asked = 30, good = 21) }
+        assertTrue(shares.goodShare("q") in 0.68..0.72)
+    }
+}
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -21,6 +21,9 @@
     private val advice = counter("bronzeshore_advice_calls_total", "Calls for advice by outcome.", "outcome")
     private val invariantViolations = counter("bronzeshore_invariants_broken_total", "Invariants found broken.")
     private val journal = histogram("bronzeshore_journal_seconds", "Time of a journal write by outcome.", "outcome")
+    private val unexpectedErrors =
+        counter("bronzeshore_unexpected_errors_total", "Pieces of work that an unexpected error ended.", "work")
+    private val malformed = counter("bronzeshore_malformed_total", "Input that could not be decoded.", "input")
     private val planningRounds = histogram("bronzeshore_planning_round_seconds", "Time of a planning round.")
     private val jobs =
         histogram("bronzeshore_job_seconds", "Time from acceptance to the end of a job.", "queue", "phase")
@@ -32,6 +35,8 @@
 
     fun countAnswer(method: String, status: Int) = answers.labelValues(method, status.toString()).inc()
 
+    fun countUnexpectedError(work: String) = unexpectedErrors.labelValues(work).inc()
+
     fun forScheduler() = SchedulerMetrics(
         start = { starts.labelValues(it).inc() },
         end = { ends.labelValues(it).inc() },
@@ -40,6 +45,9 @@
         jobEnded = { queue, phase, ms -> jobs.labelValues(queue, phase).observe(ms / MS_PER_SECOND) },
         advice = { advice.labelValues(it).inc() },
         planningRound = { planningRounds.observe(it / MS_PER_SECOND) },
+        unexpectedError = { unexpectedErrors.labelValues(it).inc() },
+        malformedRow = { malformed.labelValues("row").inc() },
+        malformedReport = { malformed.labelValues("report").inc() },
         invariantBroken = { invariantViolations.inc() },
     )
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -29,6 +29,7 @@
 import dev.bronzeshore.scheduler.LeaderTermRunner
 import dev.bronzeshore.scheduler.TermRenewal
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -46,8 +47,8 @@
 private const val EXIT_RESERVE_MS = 900L
 private const val STOP_POLL_MS = 50L
 
-/** An advice call takes up to 1.5 s and may be queued behind another one. */
-private const val ADVICE_TIMEOUT_MS = 3_200L
+/** Pause before a component starts again after an unexpected error. */
+private const val RESTART_PAUSE_MS = 200L
 
 /** Processes answer this call from memory; a peer that does not respond must not delay the call to the next one. */
 private const val CONFIG_TIMEOUT_MS = 250L
@@ -126,10 +127,25 @@
             ),
         )
         PeerServer(selector, wallClock, handlers()).start(settings.peers.host, settings.peers.port, scope)
-        scope.launch { directory.run() }
-        scope.launch { config.run() }
-        scope.launch { election.run() }
-        scope.launch { leaderClient.watch() }
+        launchRestarting("directory") { directory.run() }
+        launchRestarting("config") { config.run() }
+        launchRestarting("election") { election.run() }
+        launchRestarting("leader watch") { leaderClient.watch() }
+    }
+
+    /** Runs a component until the process ends; after an unexpected error it starts again. */
+    private fun launchRestarting(name: String, run: suspend () -> Unit) = scope.launch {
+        while (true) {
+            try {
+                run()
+            } catch (failure: CancellationException) {
+                throw failure
+            } catch (failure: Exception) {
+                log.event("unexpected_error", "work" to name, "cause" to failure.stackTraceToString())
+                metrics.countUnexpectedError(name)
+            }
+            delay(RESTART_PAUSE_MS)
+        }
     }
 
     /**
@@ -176,7 +192,18 @@
         endTerm()
         val started = LeaderTermRunner(dependencies(won), won.term, won.termRowVersion)
         runner = started
-        termJob = scope.launch(control) { started.run() }
+        termJob = scope.launch(control) { runTerm(started) }
+    }
+
+    /** A term that cannot go on is given up at once, so that it is never held without its work. */
+    private suspend fun runTerm(started: LeaderTermRunner) = try {
+        started.run()
+    } catch (failure: CancellationException) {
+        throw failure
+    } catch (failure: Exception) {
+        log.event("unexpected_error", "work" to "term", "cause" to failure.stackTraceToString())
+        metrics.countUnexpectedError("term")
+        scope.launch(control) { election.release() }
     }
 
     private suspend fun endTerm() {
@@ -201,11 +228,11 @@
 
     private fun adviceClients(): List<AdviceClient> {
         val advice = platform.advice ?: return emptyList()
-        return listOf(AdviceClient(settings.processName) { step, workers -> advice(step, workers) }) +
+        return listOf(AdviceClient(settings.processName) { step, workers, _ -> advice(step, workers) }) +
             directory.peers.map { peer ->
-                AdviceClient(peer.processName) { step, workers ->
+                AdviceClient(peer.processName) { step, workers, timeoutMs ->
                     val request = AdviceRequest(step.jobId, step.occurrence, step.step, workers)
-                    peerClient.call(peer, ADVICE_CALL, request, ADVICE_TIMEOUT_MS)?.toTickets()
+                    peerClient.call(peer, ADVICE_CALL, request, timeoutMs)?.toTickets()
                 }
             }
     }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterRunner.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterRunner.kt
@@ -26,9 +26,10 @@
     val settings = loadSettings(file)
     val log = EventLog("process")
     val control = Executors.newSingleThreadExecutor { Thread(it, "control") }.asCoroutineDispatcher()
+    // An unexpected exception ends only the coroutine that threw it. After an error of the JVM nothing can be relied on.
     val failed = CoroutineExceptionHandler { _, failure ->
         log.event("failed", "cause" to failure.stackTraceToString())
-        Runtime.getRuntime().halt(EXIT_FAILED)
+        if (failure is Error) Runtime.getRuntime().halt(EXIT_FAILED)
     }
     val scope = CoroutineScope(SupervisorJob() + control + failed)
     onReloadSignal { logReload(file, settings, log) }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/NodeDirectory.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/NodeDirectory.kt
@@ -1,7 +1,6 @@
 /** Process discovery: each process registers itself in the store and reads the rows of the others. */
 package dev.bronzeshore.server.cluster
 
-import arrow.core.Either
 import dev.bronzeshore.core.ComponentLog
 import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.NodeRow
@@ -55,8 +54,8 @@
         val page = store.readPage(RowRangeQuery(Tables.NODES, Tables.NODES_PARTITION)).getOrNull() ?: return
         peers = page.rows.mapNotNull { row ->
             val value = row.value ?: return@mapNotNull null
-            Either.catch { decodeRow(NodeRow.serializer(), value) }
-                .onLeft { log.warn { "The row of process ${row.id.key} is malformed: ${it.message}" } }
+            decodeRow(NodeRow.serializer(), value)
+                .onLeft { log.warn { "The row of process ${row.id.key} is malformed: $it" } }
                 .getOrNull()
         }.filter { it.processName != own.processName }
     }
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
@@ -17,6 +17,9 @@
 private const val SMALL_TASKS_PER_WORKER = 5
 private const val URGENT = "00000000000000bb"
 
+/** Time after which as many tasks of a flood end as start. */
+private const val FLOOD_WARM_UP_MS = 2_000L
+
 class HeavyDayTest {
     /** Guards against a large gang that starves, because small tasks take all capacity as soon as it is released. */
     @Test
@@ -102,6 +105,25 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
+    /**
+     * Guards against a wide gang on a large fleet that collects its tickets from calls one after another: a call about
+     * 100 workers takes 1.5 s, so the first tickets expire before there are enough of them.
+     */
+    @Test
+    fun `a wide gang on a large fleet collects its tickets in parallel`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 15, workerCount = 260)
+        simulation.lead()
+        simulation.awaitRoster()
+        backgroundScope.launch { flood(simulation, everyMs = 30, cores = 10) }
+        delay(FLOOD_WARM_UP_MS)
+        simulation.adviceTerms = AdviceTerms(decisionMs = 637.0, perWorkerMs = 9.1, validityMs = 2_000)
+        simulation.submit(GANG, step(replicas = 39, cores = 9, durationMs = 500, isGang = true), priority = 1)
+        simulation.adviceTerms = null
+        val mayWaitMs = 3_000L
+        assertTrue(simulation.awaitPhase(GANG, JobPhase.COMPLETED, withinMs = mayWaitMs + 500))
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
+
     private suspend fun flood(simulation: SchedulerSimulation, everyMs: Long = 120, cores: Int = 3) {
         var number = 0
         while (true) {
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -73,7 +73,8 @@
     /** Advice terms of the queues of subsequently submitted jobs. */
     var adviceTerms: AdviceTerms? = null
 
-    private val adviceClients = List(ADVICE_CALLERS) { AdviceClient("n$it", ::advise) }
+    private val adviceClients =
+        List(ADVICE_CALLERS) { AdviceClient("n$it") { step, workers, _ -> advise(step, workers) } }
     private var term = 0L
     private var leader: Job? = null
     private val jobs = HashMap<Long, Job>()
@@ -150,7 +151,7 @@
     fun cancel(id: String) = store.put(Tables.cancelRow(id), ByteArray(0))
 
     fun phaseOf(id: String): JobPhase? =
-        store.valueOf(Tables.progressRow(id))?.let { decodeRow(JobProgress.serializer(), it).phase }
+        store.valueOf(Tables.progressRow(id))?.let { decodeRow(JobProgress.serializer(), it).getOrNull()?.phase }
 
     val jobIds: Set<String> get() = accepted.keys
 
@@ -159,7 +160,9 @@
 
     /** Waits until the roster in the store lists all workers; tasks start on a worker only then. */
     suspend fun awaitRoster() = awaitUntil {
-        val roster = store.valueOf(Tables.ROSTER_ROW)?.let { decodeRow(WorkerRosterRow.serializer(), it).workers }
+        val roster = store.valueOf(Tables.ROSTER_ROW)?.let {
+            decodeRow(WorkerRosterRow.serializer(), it).getOrNull()?.workers
+        }
         roster.orEmpty().map { it.workerId }.containsAll(workers.ids)
     }
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
@@ -14,6 +14,9 @@
     /** Workers on which every run fails shortly after its start. */
     public val failing: MutableSet<String> = HashSet()
 
-    /** Workers on which no run completes. */
+    /** Workers whose reports leave out running tasks, as if their entries could not be decoded. */
+    public val malformedReports: MutableSet<String> = HashSet()
+
+    /** Workers on which no run advances. */
     public val stalled: MutableSet<String> = HashSet()
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
@@ -86,8 +86,13 @@
         fencingToken = request.fencingToken
         request.leaseUntilWorkerMs?.let { leaseUntilMs = maxOf(leaseUntilMs, minOf(it, nowMs() + MAX_LEASE_MS)) }
         acknowledge(request.acknowledgedEnd)
-        val runs = running.values.map { RunningTask(it.run, null, it.progressPercent(nowMs())) }
-        return HoldAnswer.Report(entry.incarnation.startedAtMs, nowMs(), runs, ends.toList())
+        val startedAtMs = entry.incarnation.startedAtMs
+        if (id in faults.malformedReports) {
+            return HoldAnswer.Report(startedAtMs, nowMs(), emptyList(), emptyList(), isWhole = false)
+        }
+        val isStalled = id in faults.stalled
+        val runs = running.values.map { RunningTask(it.run, null, if (isStalled) 0 else it.progressPercent(nowMs())) }
+        return HoldAnswer.Report(startedAtMs, nowMs(), runs, ends.toList())
     }
 
     val hasUnacknowledgedEnds: Boolean get() = ends.isNotEmpty()
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -58,6 +58,12 @@
         onChange(WorkerChange(workerId, entry))
     }
 
+    /** Announces that a worker will leave; it keeps its runs. */
+    public fun drain(workerId: String) {
+        val entry = workers.getValue(workerId).entry.copy(isDraining = true)
+        onChange(WorkerChange(workerId, entry))
+    }
+
     /** Ends the incarnation of a worker; its runs are lost. */
     public fun crash(workerId: String) {
         workers.remove(workerId)?.crash()
