Count a step as in time if it misses its objective by a few milliseconds

Cause of the red test 'an urgent job overtakes a backlog': on a full fleet room falls free just when the slack of the urgent job has ended; the job then counted as late and went behind sixty patient jobs that were in time.

Change: a tolerance of 60 ms, the time that a start and a report take.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
@@ -9,6 +9,12 @@
 /** A job that takes longer than this many times its objective is worth nothing to its caller. */
 private const val WORTHLESS_AFTER = 3
 
+/**
+ * A step counts as in time if it misses its objective by no more than this, the time that a start and a report take.
+ * Otherwise an urgent job whose slack ends just when capacity is released falls behind all patient work.
+ */
+private const val LATENESS_TOLERANCE_MS = 60L
+
 /** How late a step's job will be if it starts now. */
 internal enum class Lateness { IN_TIME, LATE, WORTHLESS }
 
@@ -22,7 +28,7 @@
     val endsMs = nowMs + job.remainingCriticalPathMs(step)
     val lateness = when {
         step.description.isService || nowMs < (step.reservedUntilMs ?: Long.MIN_VALUE) -> Lateness.IN_TIME
-        endsMs <= objectiveEndMs -> Lateness.IN_TIME
+        endsMs <= objectiveEndMs + LATENESS_TOLERANCE_MS -> Lateness.IN_TIME
         endsMs <= dueMs + WORTHLESS_AFTER * objectiveDurationMs -> Lateness.LATE
         else -> Lateness.WORTHLESS
     }
