Tell rejected callers to return later the longer an outage lasts

Cause: in an outage of the whole store callers were told to return after one second, so that after 4 s they had used up their attempts and were refused for good, although patient work would still have been in time.

Change: Retry-After is the time that the outage has lasted, 1 to 4 s.

--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -30,6 +30,8 @@
 
 /** Jobs that may wait for a transaction; more are rejected at once, because the store then has a long backlog. */
 private const val MAX_PENDING_JOBS = 400
+
+/** A partition with a long backlog catches up within a second or two. */
 private const val RETRY_AFTER_MS = 1_000L
 
 /** How long a write that the store refuses is retried; callers wait three seconds for an answer. */
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/JobRequestForwarder.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/JobRequestForwarder.kt
@@ -31,9 +31,6 @@
 /** Timeout of one peer's attempt to store a forwarded job. */
 private const val PEER_SUBMIT_TIMEOUT_MS = 1_300L
 
-/** Retry-after of rejected submissions: most outages of the store last seconds. */
-private const val STORE_RETRY_MS = 1_000L
-
 internal class JobRequestForwarder(
     private val local: JobOperations,
     private val health: StoreHealth,
@@ -50,7 +47,7 @@
         if (health.isAvailable) submitHedged(job) else forward(job, storeUnavailable())
 
     private fun storeUnavailable() =
-        SubmitAnswer.Rejected("the store does not serve this process", STORE_RETRY_MS, false)
+        SubmitAnswer.Rejected("the store does not serve this process", health.retryAfterMs, false)
 
     /** Starts a write from this process; if it takes too long, a peer writes the same row as well. */
     private suspend fun submitHedged(job: AcceptedJob): SubmitAnswer = coroutineScope {
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
@@ -16,6 +16,10 @@
 private const val MIN_FAILURE_PERIOD_MS = 250L
 private const val FAILURE_PERIOD_LATENCY_FACTOR = 3
 
+/** Bounds of the time after which rejected callers may try again; an outage of the store mostly lasts seconds. */
+private const val MIN_RETRY_AFTER_MS = 1_000L
+private const val MAX_RETRY_AFTER_MS = 4_000L
+
 internal class StoreHealth(private val clock: ClockMs) {
     private val log = EventLog("store")
     private val writes = LatencyEstimate()
@@ -32,6 +36,12 @@
     var isAvailable: Boolean = true
         private set
 
+    /**
+     * When a rejected caller may try again: an outage is expected to last about as long again as it has lasted. Callers
+     * give up after a few attempts, so that a constant short time lets them give up before a longer outage has ended.
+     */
+    val retryAfterMs: Long get() = (clock() - lastSuccessAtMs).coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+
     /** Wraps [store] so that the outcome of each call is recorded. */
     fun monitor(store: ClusterStore) = ClusterStore(
         transact = { transaction ->
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreHealthTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreHealthTest.kt
@@ -12,6 +12,8 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import kotlin.random.Random
 
 class StoreHealthTest {
@@ -36,6 +38,17 @@
         assertEquals(true, health.isAvailable)
     }
 
+    /** Guards against callers that have used up their attempts before an outage of some seconds has ended. */
+    @ParameterizedTest
+    @CsvSource("300, 1000", "1800, 1800", "3500, 3500", "60000, 4000")
+    fun `callers may return later the longer an outage lasts`(outageMs: Long, expectedMs: Long) = runTest {
+        val store = StoreStandIn(Random(1), backgroundScope)
+        val health = StoreHealth { currentTime }
+        health.monitor(store.clientFor("node")).readPage(query)
+        delay(outageMs)
+        assertEquals(expectedMs, health.retryAfterMs)
+    }
+
     /** Guards against a slow period that is treated as an outage. */
     @Test
     fun `a slow store is available`() = runTest {
