Test unexpected errors in the work for one worker and in one batch

An error in the calls to one worker, and one in a store transaction, end that work alone; callers of the batch learn that the outcome is unknown.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/BadInputTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/BadInputTest.kt
@@ -70,6 +70,22 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
+    /** Guards against an unexpected error in the work for one worker that ends the work for all others. */
+    @Test
+    fun `an unexpected error in the calls to one worker leaves the others alone`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 24, workerCount = 3)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.workers.faults.failingCalls += "w0"
+        simulation.submit(JOB, step(replicas = 4, cores = 8, durationMs = 300))
+        awaitUntil { simulation.workers.checker.runningCount > 0 }
+        simulation.submit(OTHER_JOB, step(replicas = 2, cores = 4, durationMs = 300))
+        assertTrue(simulation.awaitPhase(OTHER_JOB, JobPhase.COMPLETED, withinMs = 3_000))
+        simulation.workers.faults.failingCalls.clear()
+        assertTrue(simulation.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 15_000))
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
+
     companion object {
         @JvmStatic
         fun rows(): List<BadRow> = listOf(
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreJobOperationsTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreJobOperationsTest.kt
@@ -5,6 +5,7 @@
 
 import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.JobDescription
 import dev.bronzeshore.core.cluster.JobOperations
 import dev.bronzeshore.core.cluster.JobPhase
@@ -63,6 +64,27 @@
         assertInstanceOf(SubmitAnswer.Unknown::class.java, setup.jobs.submit(job(1)))
     }
 
+    /** Guards against an unexpected error that leaves callers without an answer, or ends all further submissions. */
+    @Test
+    fun `an unexpected error makes the outcome of one batch unknown`() = runTest {
+        val store = StoreStandIn(Random(1), backgroundScope).clientFor("node")
+        var isBroken = true
+        val broken =
+            ClusterStore({ if (isBroken) error("a fault") else store.transact(it) }, store.readPage, store.changes)
+        val jobs = createStoreJobOperations(broken, { currentTime }, { true }, backgroundScope)
+        assertInstanceOf(SubmitAnswer.Unknown::class.java, jobs.submit(job(1)))
+        isBroken = false
+        assertEquals(SubmitAnswer.Accepted, jobs.submit(job(1)))
+    }
+
+    /** Guards against a state that is made up for a job whose progress cannot be decoded. */
+    @Test
+    fun `the state of a job with malformed progress is unavailable`() = runTest {
+        val setup = Setup(this)
+        setup.store.put(Tables.progressRow(job(1).jobId), byteArrayOf(1))
+        assertEquals(StateAnswer.Unavailable, setup.jobs.stateOf(job(1).jobId))
+    }
+
     /** Guards against an unknown outcome where a second attempt shows that the job is stored. */
     @Test
     fun `a second attempt resolves a lost response`() = runTest {
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
@@ -14,6 +14,9 @@
     /** Workers on which every run fails shortly after its start. */
     public val failing: MutableSet<String> = HashSet()
 
+    /** Workers for which each call ends with an exception, as from a fault in the client. */
+    public val failingCalls: MutableSet<String> = HashSet()
+
     /** Workers whose reports leave out running tasks, as if their entries could not be decoded. */
     public val malformedReports: MutableSet<String> = HashSet()
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -87,8 +87,11 @@
         },
     )
 
-    private fun reachableWorker(worker: WorkerEntry): WorkerModel? =
-        workers[worker.incarnation.workerId].takeIf { worker.incarnation.workerId !in faults.unreachable }
+    private fun reachableWorker(worker: WorkerEntry): WorkerModel? {
+        val id = worker.incarnation.workerId
+        check(id !in faults.failingCalls) { "the client of $id is faulty" }
+        return workers[id].takeIf { id !in faults.unreachable }
+    }
 
     private suspend fun start(worker: WorkerEntry, request: StartRequest): StartAnswer {
         delay(CALL_LATENCY_MS)
