--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -40,7 +40,7 @@
         val good = if (step.needsAdvice) workers.filter { step.advice.mayRunOn(it.worker.incarnation) } else workers
         val assignments = assign(step, tasks, good)
         val missing = tasks.size - assignments.size
-        if (missing > 0 && step.needsAdvice) explore(step, tasks.size, missing, workers)
+        if (missing > 0 && step.needsAdvice) explore(step, tasks.size, missing, workers, good)
         when {
             missing == 0 -> startOrRenew(step, assignments)
             step.description.isGang -> reserveForGang(step, tasks.size, good)
@@ -95,14 +95,20 @@
     }
 
     /** Asks about further workers, if no call of the step is in flight. */
-    private fun explore(step: TrackedStep, pending: Int, missing: Int, workers: List<RoundWorker>) {
+    private fun explore(
+        step: TrackedStep,
+        pending: Int,
+        missing: Int,
+        workers: List<RoundWorker>,
+        good: List<RoundWorker>,
+    ) {
         if (!step.advice.mayAsk(now)) return
         val unasked = workers.filter { !step.advice.isAsked(it.worker.incarnation) }
         val (withRoom, withoutRoom) = unasked.partition { step.taskDemand.fitsIn(it.free) }
         val share = context.adviceShares.goodShare(step.job.terms.queue)
         if (step.advice.isKnown &&
             !isWorthAsking(step, missing, withRoom, share) &&
-            hasEnoughGood(step, workers)
+            hasEnoughGood(step, good)
         ) {
             return
         }
@@ -120,11 +126,10 @@
         return share * withRoom.sumOf { step.taskDemand.countIn(it.free).coerceAtMost(missing) } >= missing
     }
 
-    private fun hasEnoughGood(step: TrackedStep, workers: List<RoundWorker>): Boolean {
+    /** True if the step can wait for the workers that it knows; a gang needs some choice among them. */
+    private fun hasEnoughGood(step: TrackedStep, good: List<RoundWorker>): Boolean {
         val wanted = if (step.description.isGang) ENOUGH_KNOWN * step.tasks.size else 1.0
-        val places = workers.filter { step.advice.mayRunOn(it.worker.incarnation) }
-            .sumOf { it.fittingWhenIdle(step, step.tasks.size) }
-        return places >= wanted
+        return good.sumOf { it.fittingWhenIdle(step, step.tasks.size) } >= wanted
     }
 
     /**
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
@@ -8,7 +8,7 @@
         private set
 
     /** The gang that reserved the worker in the previous round. */
-    val reservedFor: TrackedStep? = worker.reservedFor.also { worker.reservedFor = null }
+    val reservedFor: TrackedStep? = worker.takeReservation()
 
     /** Takes capacity from the steps that are planned later. */
     fun reserve(demand: Resources) {
@@ -18,7 +18,7 @@
     /** Keeps all free capacity for a gang; the next round prefers the same worker for it. */
     fun reserveFor(gang: TrackedStep) {
         free = Resources.NONE
-        worker.reservedFor = gang
+        worker.reserveFor(gang)
     }
 
     /** Order in which a gang reserves workers: those that it has, then fast ones that are soon free. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -54,8 +54,7 @@
     var isOnRoster: Boolean = false
     var quarantinedUntilMs: Long = Long.MIN_VALUE
 
-    /** The gang for which the last planning round reserved this worker. */
-    var reservedFor: TrackedStep? = null
+    private var reservedFor: TrackedStep? = null
 
     /** Jobs whose tasks failed here since the last success. */
     val failedJobs = HashSet<String>()
@@ -64,6 +63,14 @@
     val unsavedEnds = ArrayDeque<UnsavedEnd>()
     var acknowledgedEnd: Long = 0
 
+    /** Notes that a planning round has reserved this worker for [gang]. */
+    fun reserveFor(gang: TrackedStep) {
+        reservedFor = gang
+    }
+
+    /** The gang of the last reservation, which the next planning round renews or drops. */
+    fun takeReservation(): TrackedStep? = reservedFor.also { reservedFor = null }
+
     /** Tasks start again once the stored roster says that any job may run here. */
     fun markReachable() {
         if (isReachable) return
