Tell a silent store from a slow one

Calls without an answer counted with their timeout as latency, so the time after which the store counts as unavailable grew to 5.7 s.

Change: only answered calls count for the latency; a submission without an answer is not sent a second time while the store is known to be unavailable. Both tests are red without the change.

--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -104,7 +104,7 @@
 
                 // A second attempt with the same conditions shows whether the first one took effect.
                 is StoreOutcome.Unknown -> {
-                    if (isUncertain) return open.answerAll(SubmitAnswer.Unknown(outcome.reason))
+                    if (isUncertain || !isStoreAvailable()) return open.answerAll(SubmitAnswer.Unknown(outcome.reason))
                     isUncertain = true
                 }
             }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
@@ -47,7 +47,8 @@
         transact = { transaction ->
             val startedAtMs = clock()
             store.transact(transaction).also {
-                writes.observe(clock() - startedAtMs)
+                // The time of a call without an answer is only its timeout, and says nothing about the latency.
+                if (it !is StoreOutcome.Unknown) writes.observe(clock() - startedAtMs)
                 record(it)
             }
         },
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreHealthTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreHealthTest.kt
@@ -8,6 +8,7 @@
 import dev.bronzeshore.standins.cluster.StoreStandIn
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -16,6 +17,9 @@
 import org.junit.jupiter.params.provider.CsvSource
 import kotlin.random.Random
 
+/** Timeout of a call to the stand-in that gets no answer. */
+private const val STORE_TIMEOUT_MS = 600L
+
 class StoreHealthTest {
     private val query = RowRangeQuery("t", "")
 
@@ -38,6 +42,22 @@
         assertEquals(true, health.isAvailable)
     }
 
+    /**
+     * Guards against a silent store that counts as slow: the timeouts of calls in parallel raised the typical latency,
+     * and with it the time after which the store counts as unavailable, so that callers were held for seconds.
+     */
+    @Test
+    fun `a silent store is unavailable after two unanswered calls in a row`() = runTest {
+        val store = StoreStandIn(Random(1), backgroundScope)
+        val health = StoreHealth { currentTime }
+        val monitored = health.monitor(store.clientFor("node"))
+        monitored.transact(StoreTransaction())
+        store.faults.lostResponseShare = 1.0
+        repeat(6) { backgroundScope.launch { while (true) monitored.transact(StoreTransaction()) } }
+        delay(2 * STORE_TIMEOUT_MS + 100)
+        assertEquals(false, health.isAvailable)
+    }
+
     /** Guards against callers that have used up their attempts before an outage of some seconds has ended. */
     @ParameterizedTest
     @CsvSource("300, 1000", "1800, 1800", "3500, 3500", "60000, 4000")
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreJobOperationsTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/StoreJobOperationsTest.kt
@@ -64,6 +64,15 @@
         assertInstanceOf(SubmitAnswer.Unknown::class.java, setup.jobs.submit(job(1)))
     }
 
+    /** Guards against callers that are held for a second attempt while the store is known to be silent. */
+    @Test
+    fun `a lost response is not retried while the store is unavailable`() = runTest {
+        val setup = Setup(this, isServed = false)
+        setup.store.faults.lostResponseShare = 1.0
+        assertInstanceOf(SubmitAnswer.Unknown::class.java, setup.jobs.submit(job(1)))
+        assertEquals(1, setup.store.calls["transact"])
+    }
+
     /** Guards against an unexpected error that leaves callers without an answer, or ends all further submissions. */
     @Test
     fun `an unexpected error makes the outcome of one batch unknown`() = runTest {
