--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/StoreHealth.kt
@@ -16,9 +16,9 @@
 private const val MIN_FAILURE_PERIOD_MS = 250L
 private const val FAILURE_PERIOD_LATENCY_FACTOR = 3
 
-/** Bounds of the time after which rejected callers may try again; an outage of the store mostly lasts seconds. */
+/** Bounds of the time after which rejected callers may try again: the attempts of a caller then span eight seconds. */
 private const val MIN_RETRY_AFTER_MS = 1_000L
-private const val MAX_RETRY_AFTER_MS = 4_000L
+private const val MAX_RETRY_AFTER_MS = 2_000L
 
 internal class StoreHealth(private val clock: ClockMs) {
     private val log = EventLog("store")
