--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
@@ -3,6 +3,9 @@
 
 import dev.bronzeshore.core.Resources
 
+/** Larger than any difference in slowness and free capacity, so that a gang does not change its workers. */
+private const val KEPT_RESERVATION_BONUS = 100.0
+
 internal class RoundWorker(val worker: TrackedWorker, val slowness: Double) {
     var free: Resources = worker.free
         private set
@@ -29,9 +32,6 @@
     }
 }
 
-/** Larger than any difference in slowness and free capacity, so that a gang does not change its workers. */
-private const val KEPT_RESERVATION_BONUS = 100.0
-
 /** How many times this amount fits into [available]. */
 internal fun Resources.countIn(available: Resources): Int = minOf(
     timesIn(processorsMillicores, available.processorsMillicores),
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunProgress.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunProgress.kt
@@ -28,14 +28,12 @@
     }
 
     /** Time of the worker's clock that passed without progress, as far as its reports show. */
-    fun stalledForMs(): Long = elapsed { it.workerClockMs }
-
-    /** Time on the leader's clock since the last increase; says only that a report is due. */
-    fun silentForMs(nowMs: Long): Long = increased?.let { nowMs - it.receivedAtMs } ?: 0
-
-    private fun elapsed(clock: (RunEvidence) -> Long): Long {
+    fun stalledForMs(): Long {
         val from = increased ?: return 0
         val to = last ?: return 0
-        return clock(to) - clock(from)
+        return to.workerClockMs - from.workerClockMs
     }
+
+    /** Time on the leader's clock since the last increase; says only that a report is due. */
+    fun silentForMs(nowMs: Long): Long = increased?.let { nowMs - it.receivedAtMs } ?: 0
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -54,6 +54,7 @@
     var isOnRoster: Boolean = false
     var quarantinedUntilMs: Long = Long.MIN_VALUE
 
+    /** The gang that reserved this worker in the last planning round. */
     private var reservedFor: TrackedStep? = null
 
     /** Jobs whose tasks failed here since the last success. */
