Log what a lost worker had been running, and for how long

Adds start_unanswered, age_ms and proven_ms in run_lost, the successor of a worker in worker_gone, and counters of lost runs and gone workers. No decision changes.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -88,7 +88,10 @@
             "run" to placement.run.run,
             "worker" to placement.worker.id,
             "reason" to reason,
+            "age_ms" to context.clock() - placement.orderedAtMs,
+            "proven_ms" to placement.provenMs,
         )
+        context.metrics.losses.runLost()
         restartLater(placement.task)
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -24,13 +24,14 @@
     fun handle(worker: TrackedWorker, report: HoldAnswer.Report, requestedAtMs: Long) {
         val now = context.clock()
         worker.clock.observe(report.workerClockMs, now)
+        worker.recordAnswer(now)
         if (!worker.isReachable) context.wakeJournal()
         worker.markReachable()
         for (end in report.ends) if (end.number > worker.lastEndNumber) handleEnd(worker, end)
         for (running in report.running) handleRunning(worker, running, RunEvidence(now, report.workerClockMs))
         when {
             !report.isWhole -> {
-                context.metrics.malformedReport()
+                context.metrics.malformedInput("report")
                 context.log.event("report_malformed", "worker" to worker.id, "running" to report.running.size)
             }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -1,9 +1,18 @@
 /** Counters of the scheduler as function types, so that this module does not depend on a metrics library. */
 package dev.bronzeshore.scheduler
 
+/** Counters of what is lost with workers. */
+public class LossMetrics(
+    /** A run ended without an end that its worker reported. */
+    public val runLost: () -> Unit = {},
+    /** A worker incarnation ended, by draining or otherwise. */
+    public val workerGone: (wasDraining: Boolean) -> Unit = {},
+)
+
 public class SchedulerMetrics(
     public val start: (result: String) -> Unit = {},
     public val end: (kind: String) -> Unit = {},
+    public val losses: LossMetrics = LossMetrics(),
     public val workerPoll: () -> Unit = {},
     public val journalWrite: (outcome: String, durationMs: Long) -> Unit = { _, _ -> },
     /** Time from acceptance to the end of a job, by queue and phase. */
@@ -12,9 +21,7 @@
     public val planningRound: (durationMs: Long) -> Unit = {},
     /** An unexpected error ended a piece of work, named by the argument. */
     public val unexpectedError: (work: String) -> Unit = {},
-    /** A stored row could not be decoded. */
-    public val malformedRow: () -> Unit = {},
-    /** A worker's report could not be decoded whole. */
-    public val malformedReport: () -> Unit = {},
+    /** A stored row, or a part of a worker's report, could not be decoded. */
+    public val malformedInput: (kind: String) -> Unit = {},
     public val invariantBroken: () -> Unit = {},
 )
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -48,6 +48,12 @@
             val answer = context.calls.start(placement.worker.entry, requestFor(placement, ticket))
             if (answer.result != StartResult.UNKNOWN) return handleAnswer(placement, answer, isUncertain)
             isUncertain = true
+            context.log.event(
+                "start_unanswered",
+                "task" to placement.run.task,
+                "run" to placement.run.run,
+                "worker" to placement.worker.id,
+            )
             probeSuspect(placement.worker)
         }
         context.log.event(
@@ -77,6 +83,7 @@
 
     private suspend fun handleAnswer(placement: Placement, answer: StartAnswer, isUncertain: Boolean) {
         val result = answer.result
+        if (answer.workerClockMs != null) placement.worker.recordAnswer(context.clock())
         context.metrics.start(result.name)
         context.log.event(
             "start",
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -73,7 +73,7 @@
 
     /** Reports a stored row that cannot be decoded; what it stood for is set aside. */
     fun reportMalformedRow(id: RowId, cause: String) {
-        metrics.malformedRow()
+        metrics.malformedInput("row")
         log.event("row_malformed", "table" to id.table, "key" to id.key, "cause" to cause)
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -57,6 +57,9 @@
     /** Monotonic time at which the worker confirmed the start or the stop. */
     var confirmedAtMs: Long? = null
 
+    /** Time for which the worker has certainly lived after it confirmed the start; null without a confirmation. */
+    val provenMs: Long? get() = confirmedAtMs?.let { (worker.lastAnswerAtMs - it).coerceAtLeast(0) }
+
     /** What the worker's reports say about the progress of the run. */
     val progress = RunProgress()
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -32,6 +32,14 @@
     var isReachable: Boolean = true
         private set
 
+    /** Monotonic time since which the worker does not answer; null while it does. */
+    var unreachableSinceMs: Long? = null
+        private set
+
+    /** Monotonic time of the last answer: runs that were confirmed before it did not crash the worker by then. */
+    var lastAnswerAtMs: Long = Long.MIN_VALUE
+        private set
+
     private var jobsWhenUnreachable: Set<String>? = null
     private var jobsWhenDraining: Set<String>? = null
 
@@ -72,18 +80,25 @@
     /** The gang of the last reservation, which the next planning round renews or drops. */
     fun takeReservation(): TrackedStep? = reservedFor.also { reservedFor = null }
 
+    /** Notes an answer to any request. */
+    fun recordAnswer(nowMs: Long) {
+        lastAnswerAtMs = maxOf(lastAnswerAtMs, nowMs)
+    }
+
     /** Tasks start again once the stored roster says that any job may run here. */
     fun markReachable() {
         if (isReachable) return
         isReachable = true
+        unreachableSinceMs = null
         jobsWhenUnreachable = null
         isOnRoster = false
     }
 
     /** Nothing starts here until the worker answers again; [heldJobs] goes into the stored roster. */
-    fun markUnreachable() {
+    fun markUnreachable(nowMs: Long) {
         if (!isReachable) return
         isReachable = false
+        unreachableSinceMs = nowMs
         if (isContacted) jobsWhenUnreachable = placedJobs()
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
@@ -22,6 +22,10 @@
 
     fun withId(workerId: String): List<TrackedWorker> = byIncarnation.values.filter { it.id == workerId }
 
+    /** Another worker at the same address, which has taken the place of [worker]. */
+    fun successorOf(worker: TrackedWorker): TrackedWorker? =
+        byIncarnation.values.firstOrNull { it !== worker && it.entry.address == worker.entry.address && !it.isGone }
+
     /** Tasks with a run on some worker that is to be stopped: another run must wait for its end. */
     fun tasksWithStrayRuns(): Set<TaskName> {
         val tasks = HashSet<TaskName>()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -170,7 +170,17 @@
 
     private fun markGone(worker: TrackedWorker, reason: String) {
         worker.isGone = true
-        context.log.event("worker_gone", "worker" to worker.id, "reason" to reason, "runs" to worker.placements.size)
+        context.log.event(
+            "worker_gone",
+            "worker" to worker.id,
+            "address" to worker.entry.address,
+            "reason" to reason,
+            "draining" to worker.entry.isDraining,
+            "unreachable_for_ms" to worker.unreachableSinceMs?.let { context.clock() - it },
+            "successor" to context.workerPool.successorOf(worker)?.id,
+            "runs" to worker.placements.size,
+        )
+        context.metrics.losses.workerGone(worker.entry.isDraining)
         worker.placements.toList().forEach { lifecycle.lost(it, reason) }
         context.workerPool.remove(worker)
         context.wakeJournal()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -45,7 +45,7 @@
                 reports.handle(worker, answer, requestedAtMs)
             }
 
-            else -> worker.markUnreachable()
+            else -> worker.markUnreachable(context.clock())
         }
         worker.isSuspect = false
         context.wakePlanner()
@@ -106,7 +106,7 @@
     private suspend fun handleFailure(reason: String) {
         failures++
         if (failures == FAILURES_UNTIL_UNREACHABLE) {
-            worker.markUnreachable()
+            worker.markUnreachable(context.clock())
             context.wakeJournal()
             context.log.event("worker_unreachable", "worker" to worker.id, "reason" to reason)
         }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -1,6 +1,7 @@
 /** Prometheus metrics of a cluster process. Thread-safe. */
 package dev.bronzeshore.server.cluster
 
+import dev.bronzeshore.scheduler.LossMetrics
 import dev.bronzeshore.scheduler.SchedulerMetrics
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
@@ -17,6 +18,9 @@
     private val answers = counter("bronzeshore_caller_answers_total", "Answers to callers.", "method", "status")
     private val starts = counter("bronzeshore_starts_total", "Start orders by result.", "result")
     private val ends = counter("bronzeshore_run_ends_total", "Ends of runs by kind.", "kind")
+    private val runsLost = counter("bronzeshore_runs_lost_total", "Runs that ended without a reported end.")
+    private val workersGone =
+        counter("bronzeshore_workers_gone_total", "Worker incarnations that ended.", "draining")
     private val workerPolls = counter("bronzeshore_worker_looks_total", "Reports asked of workers.")
     private val advice = counter("bronzeshore_advice_calls_total", "Calls for advice by outcome.", "outcome")
     private val invariantViolations = counter("bronzeshore_invariants_broken_total", "Invariants found broken.")
@@ -40,14 +44,14 @@
     fun forScheduler() = SchedulerMetrics(
         start = { starts.labelValues(it).inc() },
         end = { ends.labelValues(it).inc() },
+        losses = LossMetrics({ runsLost.inc() }, { workersGone.labelValues(it.toString()).inc() }),
         workerPoll = { workerPolls.inc() },
         journalWrite = { outcome, ms -> journal.labelValues(outcome).observe(ms / MS_PER_SECOND) },
         jobEnded = { queue, phase, ms -> jobs.labelValues(queue, phase).observe(ms / MS_PER_SECOND) },
         advice = { advice.labelValues(it).inc() },
         planningRound = { planningRounds.observe(it / MS_PER_SECOND) },
         unexpectedError = { unexpectedErrors.labelValues(it).inc() },
-        malformedRow = { malformed.labelValues("row").inc() },
-        malformedReport = { malformed.labelValues("report").inc() },
+        malformedInput = { malformed.labelValues(it).inc() },
         invariantBroken = { invariantViolations.inc() },
     )
 
