--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
@@ -15,6 +15,12 @@
     private val done = HashSet<TaskName>()
     private val acknowledgedDone = HashSet<TaskName>()
 
+    private val crashesBy = HashMap<TaskName, Int>()
+    private val startsAfterThirdCrash = HashMap<TaskName, Int>()
+
+    /** For each task that crashed workers, how many. */
+    public val crashes: Map<TaskName, Int> get() = crashesBy
+
     /** Descriptions of violated invariants, in the order in which they were found. */
     public val violations: MutableList<String> = ArrayList()
 
@@ -32,6 +38,13 @@
         if (others.isNotEmpty()) violations += "duplicate run: $run on $workerId while $others are running"
         if (run.task in acknowledgedDone) violations += "duplicate run: $run on $workerId after an acknowledged end"
         others += run to workerId
+        if ((crashesBy[run.task] ?: 0) < MAX_CRASHES_BY_A_TASK) return
+        val starts = startsAfterThirdCrash.merge(run.task, 1, Int::plus) ?: 0
+        if (starts >= MAX_CRASHES_BY_A_TASK) violations += "crash budget: $run is start $starts after the third crash"
+    }
+
+    internal fun recordCrashBy(task: TaskName) {
+        crashesBy.merge(task, 1, Int::plus)
     }
 
     internal fun recordEnd(run: TaskRun, workerId: String, kind: EndKind) {
@@ -51,4 +64,9 @@
         val used = demands.fold(Resources.NONE) { sum, demand -> sum + demand }
         if (!used.fitsIn(capacity)) violations += "over-commit: the runs on $workerId use $used of $capacity"
     }
+
+    private companion object {
+        /** A task that has crashed this many workers must not start as many times more. */
+        const val MAX_CRASHES_BY_A_TASK = 3
+    }
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
@@ -1,6 +1,8 @@
 /** Faults of in-memory workers, which tests change while they run. */
 package dev.bronzeshore.standins.cluster
 
+import dev.bronzeshore.core.cluster.TaskName
+
 public class WorkerFaults {
     /** Fraction of the start requests that get no response and are applied after a random delay. */
     public var delayedRequestShare: Double = 0.0
@@ -20,6 +22,12 @@
     /** Workers whose reports leave out running tasks, as if their entries could not be decoded. */
     public val malformedReports: MutableSet<String> = HashSet()
 
+    /** Tasks that crash each worker which starts them. */
+    public var crashesItsWorker: (TaskName) -> Boolean = { false }
+
+    /** Time after its start at which such a task crashes its worker. */
+    public var crashDelayMs: Long = 10
+
     /** Workers on which no run advances. */
     public val stalled: MutableSet<String> = HashSet()
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -22,6 +22,10 @@
 private const val CALL_TIMEOUT_MS = 300L
 private const val POLL_PERIOD_MS = 10L
 
+/** Time after which a worker that a task has crashed is back, and after which the entry of its old id expires. */
+private const val REPLACED_AFTER_MS = 3_000L
+private const val ENTRY_EXPIRES_AFTER_MS = 4_300L
+
 /** Minimum delay of a start request that is applied late. */
 private const val MIN_REQUEST_DELAY_MS = 500L
 
@@ -43,11 +47,11 @@
     public val ids: Set<String> get() = workers.keys
 
     /** Starts a worker, or a new incarnation of one that has crashed. */
-    public fun boot(workerId: String) {
+    public fun boot(workerId: String, address: String = "$workerId:1") {
         val entry = WorkerEntry(
             WorkerIncarnation(workerId, clock() + 1),
             service,
-            "$workerId:1",
+            address,
             "dc",
             false,
             capacity,
@@ -69,6 +73,18 @@
         workers.remove(workerId)?.crash()
     }
 
+    /** Ends the incarnation of a worker; another one with a new id takes its address later. */
+    public fun crashAndReplace(workerId: String) {
+        val model = workers.remove(workerId) ?: return
+        model.crash()
+        scope.launch {
+            delay(REPLACED_AFTER_MS)
+            boot("$workerId+", model.entry.address)
+            delay(ENTRY_EXPIRES_AFTER_MS - REPLACED_AFTER_MS)
+            onChange(WorkerChange(workerId, null))
+        }
+    }
+
     /** Advances all workers periodically, so that runs also end without a call. */
     public suspend fun run() {
         while (true) {
@@ -95,16 +111,33 @@
 
     private suspend fun start(worker: WorkerEntry, request: StartRequest): StartAnswer {
         delay(CALL_LATENCY_MS)
+        if (hasSuccessor(worker)) return StartAnswer(StartResult.OTHER_WORKER)
         val model = reachableWorker(worker) ?: return startTimeout()
         val task = taskOf(request.run.task)
-        if (random.nextDouble() >= faults.delayedRequestShare) return model.start(request, task)
+        if (random.nextDouble() >= faults.delayedRequestShare) return start(model, request, task)
         scope.launch {
             delay(random.nextLong(MIN_REQUEST_DELAY_MS, faults.maxRequestDelayMs))
-            if (workers[worker.incarnation.workerId] === model) model.start(request, task)
+            if (workers[worker.incarnation.workerId] === model) start(model, request, task)
         }
         return startTimeout()
     }
 
+    private fun start(model: WorkerModel, request: StartRequest, task: TaskModel): StartAnswer {
+        val answer = model.start(request, task)
+        if (answer.result == StartResult.STARTED && faults.crashesItsWorker(request.run.task)) {
+            scope.launch {
+                delay(faults.crashDelayMs)
+                if (workers[model.entry.incarnation.workerId] !== model) return@launch
+                checker.recordCrashBy(request.run.task)
+                crashAndReplace(model.entry.incarnation.workerId)
+            }
+        }
+        return answer
+    }
+
+    private fun hasSuccessor(worker: WorkerEntry): Boolean =
+        workers.values.any { it.entry.address == worker.address && it.entry.incarnation != worker.incarnation }
+
     private suspend fun startTimeout(): StartAnswer {
         delay(CALL_TIMEOUT_MS)
         return StartAnswer(StartResult.UNKNOWN)
@@ -120,7 +153,7 @@
     private suspend fun hold(worker: WorkerEntry, request: HoldRequest): HoldAnswer {
         delay(CALL_LATENCY_MS)
         var waitedMs = 0L
-        val initialAnswer = reachableWorker(worker)?.hold(request) ?: return holdTimeout()
+        val initialAnswer = answerNow(worker, request) ?: return holdTimeout()
         while (initialAnswer is HoldAnswer.Report && waitedMs < request.waitMs) {
             val model = reachableWorker(worker) ?: return holdTimeout()
             if (model.hasUnacknowledgedEnds) return model.hold(request)
@@ -130,6 +163,9 @@
         return reachableWorker(worker)?.hold(request) ?: holdTimeout()
     }
 
+    private fun answerNow(worker: WorkerEntry, request: HoldRequest): HoldAnswer? =
+        if (hasSuccessor(worker)) HoldAnswer.OtherWorker else reachableWorker(worker)?.hold(request)
+
     private suspend fun holdTimeout(): HoldAnswer {
         delay(CALL_TIMEOUT_MS)
         return HoldAnswer.Unreachable("no response")
