Give up the runs of a crashed worker once another worker answers at its address

Callers saw jobs that stood still for 7.5 s after a crash of a worker, although the machine was back after 3 s under a new id: the leader knew the address and got answers from there that name another worker, but waited for the end of the old worker's leases.

Cause: an answer of another worker counted like no answer. Only one process listens at an address, and a worker keeps its id and address for its whole life, so such an answer proves that the old one has ended with all its runs. Clocks are not involved.

The new SilentWorkerTest case fails before (no start within 4,000 ms) and passes after. The in-memory workers answered a poll with a timeout there instead of the successor's answer; mended with it.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -107,7 +107,7 @@
             "started_at_ms" to worker.incarnation.startedAtMs,
             "address" to entry.address,
         )
-        val session = WorkerSession(context, worker, reports, jobLookup, ::handleRestart)
+        val session = WorkerSession(context, worker, reports, jobLookup, ::handleSuccessor)
         worker.probe = session::probe
         context.launchGuarded("worker session") { session.run() }
         context.wakeJournal()
@@ -142,8 +142,10 @@
         }
     }
 
-    private fun handleRestart(worker: TrackedWorker, startedAtMs: Long) {
+    /** Another incarnation answers at the worker's address; [startedAtMs] is known if it has the same id. */
+    private fun handleSuccessor(worker: TrackedWorker, startedAtMs: Long?) {
         if (worker.isGone) return
+        if (startedAtMs == null) return markGone(worker, "another worker answers at its address")
         val entry = worker.entry.copy(incarnation = WorkerIncarnation(worker.id, startedAtMs), isDraining = false)
         markGone(worker, "the worker reported a later start time")
         if (context.workerPool.find(entry.incarnation) == null) add(entry)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -29,8 +29,8 @@
     private val worker: TrackedWorker,
     private val reports: ReportHandler,
     private val jobLookup: JobLookup,
-    /** Called when the worker reports a later start time than the one that the leader knows. */
-    private val onRestart: (TrackedWorker, startedAtMs: Long) -> Unit,
+    /** Called when another incarnation answers, with its start time if it has the same id. */
+    private val onSuccessor: (TrackedWorker, startedAtMs: Long?) -> Unit,
 ) {
     private var failures = 0
 
@@ -72,7 +72,7 @@
                 delay(RETRY_MS)
             }
 
-            is HoldAnswer.OtherWorker -> handleFailure("another worker uses its address")
+            is HoldAnswer.OtherWorker -> onSuccessor(worker, null)
 
             is HoldAnswer.Unreachable -> handleFailure(answer.reason)
         }
@@ -94,7 +94,7 @@
             worker.incarnation.startedAtMs != 0L &&
             startedAtMs != worker.incarnation.startedAtMs
         ) {
-            if (startedAtMs > worker.incarnation.startedAtMs) onRestart(worker, startedAtMs)
+            if (startedAtMs > worker.incarnation.startedAtMs) onSuccessor(worker, startedAtMs)
             return delay(RETRY_MS)
         }
         failures = 0
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentWorkerTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentWorkerTest.kt
@@ -84,4 +84,19 @@
         simulation.store.faults.isDown = false
         awaitUntil(withinMs = 4_000) { simulation.workers.checker.starts == 4 }
     }
+
+    /**
+     * Guards against runs of a crashed worker that wait for the end of its leases, although the answers of its successor
+     * show that it no longer exists.
+     */
+    @Test
+    fun `runs of a crashed worker start elsewhere once another worker answers at its address`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 35, workerCount = 2)
+        simulation.lead()
+        simulation.submit(JOB, step(replicas = 4, cores = 8, durationMs = 2_000))
+        awaitUntil { simulation.workers.checker.starts == 4 }
+        simulation.workers.crashAndReplace("w0")
+        awaitUntil(withinMs = 4_000) { simulation.workers.checker.starts == 6 }
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -160,7 +160,7 @@
             delay(POLL_PERIOD_MS)
             waitedMs += POLL_PERIOD_MS
         }
-        return reachableWorker(worker)?.hold(request) ?: holdTimeout()
+        return answerNow(worker, request) ?: holdTimeout()
     }
 
     private fun answerNow(worker: WorkerEntry, request: HoldRequest): HoldAnswer? =
