Give up tasks that crash their workers

Cause: attempts were counted only from ends that workers report, and a crash leaves none: the path that retries was not the path that counts.

Crashes now count against the runs that their worker has not outlived.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -12,8 +12,26 @@
     /** Numbers of the failed runs; a run that is reported twice counts once. A gang's runs are recorded at index 0. */
     public val failedRuns: Map<Int, Set<Long>> = emptyMap(),
     public val checkpoints: Map<Int, String> = emptyMap(),
+    /** Runs whose worker crashed, by the task's index. */
+    public val crashedRuns: Map<Int, Set<CrashedRun>> = emptyMap(),
 )
 
+/** What a run had to do with the crash of its worker. */
+public enum class CrashRole {
+    /** The worker survived the run's start. */
+    VICTIM,
+
+    /** The worker gave no sign of life after the run's start. */
+    SUSPECT,
+
+    /** Suspected, and the worker was found dead at once after the run's start. */
+    LIKELY_CAUSE,
+}
+
+/** A run whose worker crashed. */
+@Serializable
+public data class CrashedRun(public val run: Long, public val role: CrashRole)
+
 /** Progress of a job. */
 @Serializable
 public data class JobProgress(
@@ -39,7 +57,7 @@
  * A worker incarnation on the roster.
  *
  * [heldJobs] is set while the worker does not respond: only tasks of these jobs may be running there. When it is null,
- * tasks of any job may be.
+ * tasks of any job may be. [trialJob] is set while only tasks of this job start there that may crash their workers.
  */
 @Serializable
 public data class RosterWorker(
@@ -48,6 +66,7 @@
     public val address: String,
     public val service: String,
     public val heldJobs: Set<String>? = null,
+    public val trialJob: String? = null,
 )
 
 /** A process and the address at which its peers reach it. */
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashTrials.kt
@@ -0,0 +1,86 @@
+/**
+ * Reserves workers for the starts of tasks that are suspected to crash their workers.
+ *
+ * Such a task starts on a worker where all other runs are proven, and nothing else starts there until the task's run is
+ * proven. The reservation ends then, so that it costs the worker a fraction of a second.
+ */
+package dev.bronzeshore.scheduler
+
+import kotlinx.coroutines.delay
+
+/** Time for which a worker stays reserved for a task that does not start, because runs there are unproven. */
+private const val RESERVATION_MS = 2_000L
+
+/** About this share of a service's workers is reserved at most; the others take all other work. */
+private const val MAX_RESERVED_SHARE = 0.25
+
+/** Time for which the workers at an address are avoided after a crash there. */
+private const val UNSTABLE_AFTER_CRASH_MS = 30_000L
+
+/** A worker's reservation for the suspected tasks of a job; nothing else starts there until [untilMs]. */
+internal data class TrialReservation(val job: TrackedJob, val untilMs: Long)
+
+internal class CrashTrials(private val context: TermContext) {
+    /** Ends the reservations that are no longer needed, and the suspicion against tasks that survived their start. */
+    fun update(now: Long) {
+        for (worker in context.workerPool.workers) {
+            val job = worker.trial?.job ?: continue
+            val own = worker.placements.filter { it.task.step.job === job }
+            own.filter { it.isProven && it.task.crashes.isSuspected }.forEach { clear(it.task) }
+            val isRunning = own.any { !it.isProven }
+            val isWanted = job.isOpen && now < (worker.trial?.untilMs ?: 0) && job.hasSuspectedPendingTasks
+            if (!isRunning && !isWanted) release(worker)
+        }
+    }
+
+    private fun release(worker: TrackedWorker) {
+        worker.trial = null
+        context.wakeJournal()
+    }
+
+    private fun clear(task: TrackedTask) {
+        task.crashes.clearSuspicion()
+        context.log.event("crash_suspicion_cleared", "task" to task.name)
+        context.markChanged(task.step.job)
+    }
+
+    /** True if a suspected task of [job] may start on [worker] now. */
+    fun admits(worker: TrackedWorker, job: TrackedJob): Boolean =
+        worker.trial?.job === job && worker.placements.all { it.isProven }
+
+    /**
+     * Reserves one of [candidates] for suspected tasks of [job], unless one that is reserved for them is not ready. The
+     * stored roster says so before a task starts there, so that a takeover does not hide a crash.
+     */
+    fun reserve(candidates: List<TrackedWorker>, job: TrackedJob, now: Long) {
+        val workers = context.workerPool.workers.filter { it.entry.service == job.terms.service }
+        if (workers.any { it.trial?.job === job && !(it.isOnRoster && admits(it, job)) }) return
+        if (workers.count { it.trial != null } > workers.size * MAX_RESERVED_SHARE) return
+        val worker = candidates.filter { it.trial == null }
+            .minWithOrNull(compareBy({ isUnstable(it, now) }, { it.placements.size })) ?: return
+        reserve(worker, job, now)
+        requestProof(worker)
+    }
+
+    /** Reserves the worker on which a former leader has started a suspected task of [job]. */
+    fun reserve(worker: TrackedWorker, job: TrackedJob, now: Long) {
+        worker.trial = TrialReservation(job, now + RESERVATION_MS)
+        worker.isOnRoster = false
+        context.wakeJournal()
+    }
+
+    /** A worker at whose address one crashed lately may crash on its own, which would say little about the task. */
+    private fun isUnstable(worker: TrackedWorker, now: Long): Boolean =
+        context.workerPool.lastCrashAtMs(worker.entry.address)?.let { now - it < UNSTABLE_AFTER_CRASH_MS } ?: false
+
+    /** Asks for a report once the runs that have just started on [worker] can be proven by it. */
+    fun requestProof(worker: TrackedWorker) {
+        context.launchGuarded("crash trial") {
+            delay(SURVIVAL_MS)
+            worker.probe()
+        }
+    }
+}
+
+private val TrackedJob.hasSuspectedPendingTasks: Boolean
+    get() = steps.any { step -> step.tasks.any { it.crashes.isSuspected && !it.isDone && it.placement == null } }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -95,6 +95,9 @@
         restartLater(placement.task)
     }
 
+    /** Ends the job of a task that cannot run. */
+    fun giveUp(task: TrackedTask, reason: String) = close(task.step.job, JobPhase.FAILED, reason)
+
     private fun recordEnd(task: TrackedTask, end: TaskEnd, worker: TrackedWorker) {
         val job = task.step.job
         context.log.event(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -7,20 +7,19 @@
  */
 package dev.bronzeshore.scheduler
 
-/** Run numbers of a term start above those of all earlier terms, as starts are not stored. */
-private const val RUNS_PER_TERM = 10_000L
-
 /** The starts of a round, and what steps need from the advice service before they can start. */
 internal class Plan(val starts: List<PlannedStart>, val adviceNeeds: List<AdviceNeed>)
 
 internal class Planner(
     private val context: TermContext,
+    private val trials: CrashTrials,
     /** False while runs of the job that a former leader started may exist without this leader knowing them. */
     private val mayStart: (TrackedJob) -> Boolean,
 ) {
     fun plan(): Plan {
         val now = context.clock()
-        val round = PlanningRound(context, now, firstRunNumber = (context.term - 1) * RUNS_PER_TERM + 1)
+        trials.update(now)
+        val round = PlanningRound(context, now, context.firstRunNumber, trials)
         rankedSteps(now).forEach { round.place(it.step) }
         if (context.confirmation.isWanted) context.wakeJournal()
         return Plan(round.starts, round.adviceNeeds)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -25,6 +25,7 @@
     private val context: TermContext,
     private val now: Long,
     private val firstRunNumber: Long,
+    private val trials: CrashTrials,
 ) {
     private val workersByService = HashMap<String, List<RoundWorker>>()
     private val tasksWithStrayRuns = context.workerPool.tasksWithStrayRuns()
@@ -39,6 +40,7 @@
         val workers = workersFor(step)
         val good = if (step.needsAdvice) workers.filter { step.advice.mayRunOn(it.worker.incarnation) } else workers
         val assignments = assign(step, tasks, good)
+        reserveForTrials(step, tasks, good, assignments)
         val missing = tasks.size - assignments.size
         if (missing > 0 && step.needsAdvice) explore(step, tasks.size, missing, workers, good)
         when {
@@ -81,6 +83,30 @@
     }
 
     private fun assignAmong(free: List<RoundWorker>, step: TrackedStep, tasks: List<TrackedTask>): List<Assignment> {
+        val unreserved = free.filter { it.worker.trial == null }
+        if (tasks.none { it.crashes.isSuspected }) return assignCheapest(unreserved, step, tasks)
+        val (suspected, others) = tasks.partition { it.crashes.isSuspected }
+        val onTrial = assignCheapest(free.filter { trials.admits(it.worker, step.job) }, step, suspected)
+        return onTrial + assignCheapest(unreserved, step, others)
+    }
+
+    /** Suspected tasks start only on workers that were reserved for them in an earlier round. */
+    private fun reserveForTrials(
+        step: TrackedStep,
+        tasks: List<TrackedTask>,
+        good: List<RoundWorker>,
+        assignments: List<Assignment>,
+    ) {
+        if (tasks.count { it.crashes.isSuspected } <= assignments.count { it.task.crashes.isSuspected }) return
+        val free = good.filter { step.taskDemand.fitsIn(it.free) && !it.hasNewRuns }
+        trials.reserve(free.map { it.worker }, step.job, now)
+    }
+
+    private fun assignCheapest(
+        free: List<RoundWorker>,
+        step: TrackedStep,
+        tasks: List<TrackedTask>,
+    ): List<Assignment> {
         val candidates = free.map { PlacementCandidate(it, step) }
         if (candidates.isEmpty()) return emptyList()
         val costs = PlacementCosts(step, now)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -166,4 +166,4 @@
 }
 
 internal fun TrackedWorker.toRoster() =
-    RosterWorker(id, incarnation.startedAtMs, entry.address, entry.service, heldJobs)
+    RosterWorker(id, incarnation.startedAtMs, entry.address, entry.service, heldJobs, trialJobId)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -19,13 +19,18 @@
     private val lifecycle: JobLifecycle,
     private val stopper: RunStopper,
     private val quarantine: Quarantine,
+    private val trials: CrashTrials,
+    private val crashes: CrashAttribution,
 ) {
     /** Processes a report that was requested at [requestedAtMs]. */
     fun handle(worker: TrackedWorker, report: HoldAnswer.Report, requestedAtMs: Long) {
         val now = context.clock()
         worker.clock.observe(report.workerClockMs, now)
-        worker.recordAnswer(now)
-        if (!worker.isReachable) context.wakeJournal()
+        worker.recordAnswer(report.workerClockMs)
+        if (!worker.isReachable) {
+            crashes.withdrawPresumption(worker)
+            context.wakeJournal()
+        }
         worker.markReachable()
         for (end in report.ends) if (end.number > worker.lastEndNumber) handleEnd(worker, end)
         for (running in report.running) handleRunning(worker, running, RunEvidence(now, report.workerClockMs))
@@ -49,6 +54,9 @@
         context.wakePlanner()
     }
 
+    /** The worker has not answered; its new runs may have crashed it. */
+    fun handleSilence(worker: TrackedWorker) = crashes.presumeCrash(worker)
+
     private fun handleEnd(worker: TrackedWorker, end: TaskEnd) {
         worker.lastEndNumber = end.number
         val placement = worker.placement(end.run)
@@ -73,10 +81,7 @@
 
     private fun update(placement: Placement, running: RunningTask, evidence: RunEvidence) {
         val now = evidence.receivedAtMs
-        if (placement.state == PlacementState.ORDERED) {
-            placement.state = PlacementState.RUNNING
-            placement.confirmedAtMs = now
-        }
+        if (placement.state == PlacementState.ORDERED) placement.confirmStart(now, evidence.workerClockMs)
         if (placement.progress.observe(running.percent, evidence)) observeSpeed(placement, now)
         running.checkpoint?.let { placement.task.checkpoint = it }
     }
@@ -99,15 +104,15 @@
         val isWanted = task.step.job.isOpen && !task.isDone && task.placement == null && running.run.run >= task.lastRun
         if (!isWanted) return false
         val placement = Placement(task, worker, running.run, evidence.receivedAtMs)
-        placement.state = PlacementState.RUNNING
+        placement.confirmStart(evidence.receivedAtMs, evidence.workerClockMs)
         placement.isAdopted = true
-        placement.confirmedAtMs = evidence.receivedAtMs
         placement.progress.observe(running.percent, evidence)
         task.placement = placement
         task.lastRun = running.run.run
         task.hasStarted = true
         running.checkpoint?.let { task.checkpoint = it }
         worker.add(placement)
+        if (task.crashes.isSuspected) trials.reserve(worker, task.step.job, evidence.receivedAtMs)
         context.log.event("run_adopted", "task" to running.run.task, "run" to running.run.run, "worker" to worker.id)
         return true
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
@@ -10,11 +10,16 @@
     var free: Resources = worker.free
         private set
 
+    /** A task starts here in this round. */
+    var hasNewRuns: Boolean = false
+        private set
+
     /** The gang that reserved the worker in the previous round. */
     val reservedFor: TrackedStep? = worker.takeReservation()
 
     /** Takes capacity from the steps that are planned later. */
     fun reserve(demand: Resources) {
+        hasNewRuns = true
         free -= demand
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -7,6 +7,8 @@
     public val runLost: () -> Unit = {},
     /** A worker incarnation ended, by draining or otherwise. */
     public val workerGone: (wasDraining: Boolean) -> Unit = {},
+    /** A task was given up because it crashed its workers. */
+    public val crashingTask: () -> Unit = {},
 )
 
 public class SchedulerMetrics(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -23,7 +23,11 @@
 
 internal data class PlannedStart(val task: TrackedTask, val worker: TrackedWorker, val run: Long, val ticket: String?)
 
-internal class TaskStarter(private val context: TermContext, private val stopper: RunStopper) {
+internal class TaskStarter(
+    private val context: TermContext,
+    private val stopper: RunStopper,
+    private val trials: CrashTrials,
+) {
     /** Allocates capacity for the run at once and sends the start request in the background. */
     fun start(planned: PlannedStart) {
         val task = planned.task
@@ -83,7 +87,7 @@
 
     private suspend fun handleAnswer(placement: Placement, answer: StartAnswer, isUncertain: Boolean) {
         val result = answer.result
-        if (answer.workerClockMs != null) placement.worker.recordAnswer(context.clock())
+        answer.workerClockMs?.let { placement.worker.recordAnswer(it) }
         context.metrics.start(result.name)
         context.log.event(
             "start",
@@ -107,8 +111,8 @@
         placement.task.hasStarted = true
         if (placement.state != PlacementState.ORDERED) return
         val now = context.clock()
-        placement.state = PlacementState.RUNNING
-        placement.confirmedAtMs = now
+        placement.confirmStart(now, workerClockMs)
+        if (placement.task.crashes.isSuspected) trials.requestProof(placement.worker)
         workerClockMs?.let { placement.progress.observe(0, RunEvidence(now, it)) }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -23,6 +23,9 @@
     public val renewedAtMs: () -> Long = { Long.MIN_VALUE },
 )
 
+/** Run numbers of a term start above those of all earlier terms, as starts are not stored. */
+private const val RUNS_PER_TERM = 10_000L
+
 /** State and dependencies of one term; confined to the control thread. */
 internal class TermContext(
     val term: Long,
@@ -41,6 +44,7 @@
     val onLeadershipLost: suspend () -> Unit,
 ) {
     val log = EventLog("scheduler")
+    val firstRunNumber = (term - 1) * RUNS_PER_TERM + 1
     val workerPool = WorkerPool()
     val jobRegistry = JobRegistry()
     val adviceShares = AdviceShares()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -64,6 +64,7 @@
         } else {
             tasks.filter { it.failedRuns.isNotEmpty() }.associate { it.index to it.failedRuns.toSet() }
         }
+        val crashes = tasks.filter { it.crashes.runs.isNotEmpty() }.associate { it.index to it.crashes.runs }
         val result = StepProgress(
             occurrence = occurrence,
             step = number,
@@ -71,13 +72,15 @@
             failedRuns = failures,
             checkpoints = tasks.filter { !it.isDone }.mapNotNull { task -> task.checkpoint?.let { task.index to it } }
                 .toMap(),
+            crashedRuns = crashes,
         )
-        return result.takeIf { it.doneTasks.isNotEmpty() || it.failedRuns.isNotEmpty() || it.checkpoints.isNotEmpty() }
+        return result.takeIf { it != StepProgress(occurrence, number) }
     }
 
     fun restore(progress: StepProgress) {
         for (index in progress.doneTasks) tasks.getOrNull(index)?.isDone = true
         for ((index, checkpoint) in progress.checkpoints) tasks.getOrNull(index)?.checkpoint = checkpoint
+        for ((index, crashes) in progress.crashedRuns) crashes.forEach { tasks.getOrNull(index)?.crashes?.record(it) }
         if (description.isGang) {
             failedGangRuns += progress.failedRuns[0].orEmpty()
         } else {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -4,12 +4,16 @@
 import dev.bronzeshore.core.cluster.TaskName
 import dev.bronzeshore.core.cluster.TaskRun
 
+/** A worker that answers this long after the start of a run has survived the start. */
+internal const val SURVIVAL_MS = 200L
+
 internal class TrackedTask(val step: TrackedStep, val index: Int) {
     val name = TaskName(step.name.jobId, step.occurrence, step.number, index)
     var isDone: Boolean = false
 
     /** Numbers of the failed runs; a set, because an end may be reported again to a later leader. */
     val failedRuns = HashSet<Long>()
+    val crashes = TaskCrashes()
     var lastRun: Long = 0
     var hasStarted: Boolean = false
     var checkpoint: String? = null
@@ -57,8 +61,21 @@
     /** Monotonic time at which the worker confirmed the start or the stop. */
     var confirmedAtMs: Long? = null
 
+    /** Time of the worker's clock at which it first confirmed the run. */
+    private var startConfirmedWorkerMs: Long? = null
+
     /** Time for which the worker has certainly lived after it confirmed the start; null without a confirmation. */
-    val provenMs: Long? get() = confirmedAtMs?.let { (worker.lastAnswerAtMs - it).coerceAtLeast(0) }
+    val provenMs: Long? get() = startConfirmedWorkerMs?.let { (worker.lastAnswerWorkerMs - it).coerceAtLeast(0) }
+
+    /** The run has not crashed its worker at its start. */
+    val isProven: Boolean get() = (provenMs ?: 0) >= SURVIVAL_MS
+
+    /** The worker has confirmed the run at [nowMs], which is [workerMs] on its clock if it said so. */
+    fun confirmStart(nowMs: Long, workerMs: Long?) {
+        state = PlacementState.RUNNING
+        confirmedAtMs = nowMs
+        if (startConfirmedWorkerMs == null) startConfirmedWorkerMs = workerMs
+    }
 
     /** What the worker's reports say about the progress of the run. */
     val progress = RunProgress()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -36,8 +36,8 @@
     var unreachableSinceMs: Long? = null
         private set
 
-    /** Monotonic time of the last answer: runs that were confirmed before it did not crash the worker by then. */
-    var lastAnswerAtMs: Long = Long.MIN_VALUE
+    /** Time of the worker's clock in its last answer: no run had crashed the worker by then. */
+    var lastAnswerWorkerMs: Long = Long.MIN_VALUE
         private set
 
     private var jobsWhenUnreachable: Set<String>? = null
@@ -62,6 +62,12 @@
     var isOnRoster: Boolean = false
     var quarantinedUntilMs: Long = Long.MIN_VALUE
 
+    /** Reservation for tasks that are suspected to crash their workers. */
+    var trial: TrialReservation? = null
+
+    /** Job for whose suspected tasks a former leader had reserved the worker; it matters until the worker answers. */
+    var formerTrialJob: String? = null
+
     /** The gang that reserved this worker in the last planning round. */
     private var reservedFor: TrackedStep? = null
 
@@ -80,9 +86,9 @@
     /** The gang of the last reservation, which the next planning round renews or drops. */
     fun takeReservation(): TrackedStep? = reservedFor.also { reservedFor = null }
 
-    /** Notes an answer to any request. */
-    fun recordAnswer(nowMs: Long) {
-        lastAnswerAtMs = maxOf(lastAnswerAtMs, nowMs)
+    /** Notes an answer to any request, with the time of the worker's clock. */
+    fun recordAnswer(workerMs: Long) {
+        lastAnswerWorkerMs = maxOf(lastAnswerWorkerMs, workerMs)
     }
 
     /** Tasks start again once the stored roster says that any job may run here. */
@@ -112,6 +118,9 @@
 
     private fun placedJobs(): Set<String> = (placed.keys + strays.keys).mapTo(HashSet()) { it.task.jobId }
 
+    /** The job for the stored roster whose suspected tasks may run here. */
+    val trialJobId: String? get() = trial?.job?.id ?: formerTrialJob?.takeUnless { isContacted }
+
     val placements: Collection<Placement> get() = placed.values
     val strayRuns: Set<TaskRun> get() = strays.keys
     val free: Resources get() = entry.capacity - used
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
@@ -12,6 +12,16 @@
 
     val workers: Collection<TrackedWorker> get() = byIncarnation.values
 
+    private val crashTimesMs = HashMap<String, Long>()
+
+    /** Records that a worker at [address] crashed at the monotonic time [atMs]. */
+    fun recordCrash(address: String, atMs: Long) {
+        crashTimesMs[address] = atMs
+    }
+
+    /** The last crash at [address], or null. */
+    fun lastCrashAtMs(address: String): Long? = crashTimesMs[address]
+
     fun find(incarnation: WorkerIncarnation): TrackedWorker? = byIncarnation[incarnation]
 
     fun add(entry: WorkerEntry): TrackedWorker = TrackedWorker(entry).also { byIncarnation[entry.incarnation] = it }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -21,6 +21,7 @@
     private val reports: ReportHandler,
     private val lifecycle: JobLifecycle,
     private val jobLookup: JobLookup,
+    private val crashes: CrashAttribution,
 ) {
     private val startedAtMs = context.clock()
     private var directoryFailedAtMs = Long.MIN_VALUE / 2
@@ -57,6 +58,7 @@
         val former = WorkerIncarnation(worker.workerId, worker.startedAtMs)
         context.workerPool.find(former)?.let { known ->
             formerWorkers[known] = worker.heldJobs
+            known.formerTrialJob = worker.trialJob
             return
         }
         if (context.workerPool.withId(former.workerId).any { it.incarnation.startedAtMs > former.startedAtMs }) return
@@ -72,6 +74,7 @@
         )
         add(entry).apply {
             isListed = false
+            formerTrialJob = worker.trialJob
             formerWorkers[this] = worker.heldJobs
         }
     }
@@ -162,11 +165,14 @@
                 now >= formerLeasesUntilMs
             }
             if (!isOver) continue
+            if (!worker.isListed) {
+                markGone(worker, "the worker is not listed and does not answer")
+                continue
+            }
             worker.placements.toList().forEach {
                 lifecycle.lost(it, "its lease has expired and its worker does not answer")
             }
             worker.strayRuns.toList().forEach { worker.removeStray(it) }
-            if (!worker.isListed) markGone(worker, "the worker is not listed and does not answer")
         }
     }
 
@@ -183,6 +189,8 @@
             "runs" to worker.placements.size,
         )
         context.metrics.losses.workerGone(worker.entry.isDraining)
+        if (!worker.entry.isDraining && worker.isContacted) crashes.handleCrash(worker)
+        worker.formerTrialJob?.let { if (!worker.isContacted) crashes.handleFormerTrial(it) }
         worker.placements.toList().forEach { lifecycle.lost(it, reason) }
         context.workerPool.remove(worker)
         context.wakeJournal()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -45,7 +45,7 @@
                 reports.handle(worker, answer, requestedAtMs)
             }
 
-            else -> worker.markUnreachable(context.clock())
+            else -> markUnreachable()
         }
         worker.isSuspect = false
         context.wakePlanner()
@@ -103,10 +103,16 @@
         if (worker.unsavedEnds.isNotEmpty()) delay(UNSAVED_END_PAUSE_MS)
     }
 
+    private fun markUnreachable() {
+        if (!worker.isReachable) return
+        worker.markUnreachable(context.clock())
+        reports.handleSilence(worker)
+    }
+
     private suspend fun handleFailure(reason: String) {
         failures++
         if (failures == FAILURES_UNTIL_UNREACHABLE) {
-            worker.markUnreachable(context.clock())
+            markUnreachable()
             context.wakeJournal()
             context.log.event("worker_unreachable", "worker" to worker.id, "reason" to reason)
         }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -19,6 +19,8 @@
     private val starts = counter("bronzeshore_starts_total", "Start orders by result.", "result")
     private val ends = counter("bronzeshore_run_ends_total", "Ends of runs by kind.", "kind")
     private val runsLost = counter("bronzeshore_runs_lost_total", "Runs that ended without a reported end.")
+    private val crashingTasks =
+        counter("bronzeshore_crashing_tasks_total", "Tasks given up because they crashed their workers.")
     private val workersGone =
         counter("bronzeshore_workers_gone_total", "Worker incarnations that ended.", "draining")
     private val workerPolls = counter("bronzeshore_worker_looks_total", "Reports asked of workers.")
@@ -44,7 +46,11 @@
     fun forScheduler() = SchedulerMetrics(
         start = { starts.labelValues(it).inc() },
         end = { ends.labelValues(it).inc() },
-        losses = LossMetrics({ runsLost.inc() }, { workersGone.labelValues(it.toString()).inc() }),
+        losses = LossMetrics(
+            runLost = { runsLost.inc() },
+            workerGone = { workersGone.labelValues(it.toString()).inc() },
+            crashingTask = { crashingTasks.inc() },
+        ),
         workerPoll = { workerPolls.inc() },
         journalWrite = { outcome, ms -> journal.labelValues(outcome).observe(ms / MS_PER_SECOND) },
         jobEnded = { queue, phase, ms -> jobs.labelValues(queue, phase).observe(ms / MS_PER_SECOND) },
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -41,6 +41,9 @@
     public val checker: RunInvariantChecker = RunInvariantChecker()
     private val workers = LinkedHashMap<String, WorkerModel>()
 
+    /** Workers that have crashed and whose machine refuses connections. */
+    private val refusing = HashSet<String>()
+
     /** Callback for changes of the list of workers, in the form in which the store reports them. */
     public var onChange: (WorkerChange) -> Unit = {}
 
@@ -77,6 +80,7 @@
     public fun crashAndReplace(workerId: String) {
         val model = workers.remove(workerId) ?: return
         model.crash()
+        if (!faults.isCrashSilent) refusing += workerId
         scope.launch {
             delay(REPLACED_AFTER_MS)
             boot("$workerId+", model.entry.address)
@@ -112,7 +116,7 @@
     private suspend fun start(worker: WorkerEntry, request: StartRequest): StartAnswer {
         delay(CALL_LATENCY_MS)
         if (hasSuccessor(worker)) return StartAnswer(StartResult.OTHER_WORKER)
-        val model = reachableWorker(worker) ?: return startTimeout()
+        val model = reachableWorker(worker) ?: return startFailure(worker)
         val task = taskOf(request.run.task)
         if (random.nextDouble() >= faults.delayedRequestShare) return start(model, request, task)
         scope.launch {
@@ -138,6 +142,9 @@
     private fun hasSuccessor(worker: WorkerEntry): Boolean =
         workers.values.any { it.entry.address == worker.address && it.entry.incarnation != worker.incarnation }
 
+    private suspend fun startFailure(worker: WorkerEntry): StartAnswer =
+        if (worker.incarnation.workerId in refusing) StartAnswer(StartResult.NOT_SENT) else startTimeout()
+
     private suspend fun startTimeout(): StartAnswer {
         delay(CALL_TIMEOUT_MS)
         return StartAnswer(StartResult.UNKNOWN)
@@ -153,20 +160,21 @@
     private suspend fun hold(worker: WorkerEntry, request: HoldRequest): HoldAnswer {
         delay(CALL_LATENCY_MS)
         var waitedMs = 0L
-        val initialAnswer = answerNow(worker, request) ?: return holdTimeout()
+        val initialAnswer = answerNow(worker, request) ?: return holdFailure(worker)
         while (initialAnswer is HoldAnswer.Report && waitedMs < request.waitMs) {
-            val model = reachableWorker(worker) ?: return holdTimeout()
+            val model = reachableWorker(worker) ?: return holdFailure(worker)
             if (model.hasUnacknowledgedEnds) return model.hold(request)
             delay(POLL_PERIOD_MS)
             waitedMs += POLL_PERIOD_MS
         }
-        return answerNow(worker, request) ?: holdTimeout()
+        return answerNow(worker, request) ?: holdFailure(worker)
     }
 
     private fun answerNow(worker: WorkerEntry, request: HoldRequest): HoldAnswer? =
         if (hasSuccessor(worker)) HoldAnswer.OtherWorker else reachableWorker(worker)?.hold(request)
 
-    private suspend fun holdTimeout(): HoldAnswer {
+    private suspend fun holdFailure(worker: WorkerEntry): HoldAnswer {
+        if (worker.incarnation.workerId in refusing) return HoldAnswer.Unreachable("connection refused")
         delay(CALL_TIMEOUT_MS)
         return HoldAnswer.Unreachable("no response")
     }
