Count a crash against a task only once it is certain

A task whose worker was merely cut off right after its start was one real crash from being given up: the likely crash that is stored when a connection breaks counted like a certain one.

A likely crash now makes the task suspected and survives a takeover, but counts towards giving the task up only when another worker answers at the address or the worker is gone.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -28,9 +28,9 @@
     LIKELY_CAUSE,
 }
 
-/** A run whose worker crashed. */
+/** A run whose worker crashed, or has not answered since the run's start and may have crashed if not [isCertain]. */
 @Serializable
-public data class CrashedRun(public val run: Long, public val role: CrashRole)
+public data class CrashedRun(public val run: Long, public val role: CrashRole, public val isCertain: Boolean)
 
 /** Progress of a job. */
 @Serializable
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
@@ -35,7 +35,11 @@
         for (placement in worker.placements.toList()) {
             val task = placement.task
             val role = roleOf(placement, crashedAtMs)
-            record(task, CrashedRun(placement.run.run, role), role != CrashRole.VICTIM && isOnlySuspect)
+            record(
+                task,
+                CrashedRun(placement.run.run, role, isCertain = true),
+                role != CrashRole.VICTIM && isOnlySuspect,
+            )
         }
     }
 
@@ -72,7 +76,7 @@
     fun presumeCrash(worker: TrackedWorker) {
         val noticedAtMs = worker.unreachableSinceMs ?: return
         for (placement in worker.placements.filter { roleOf(it, noticedAtMs) == CrashRole.LIKELY_CAUSE }) {
-            placement.task.crashes.record(CrashedRun(placement.run.run, CrashRole.LIKELY_CAUSE))
+            placement.task.crashes.record(CrashedRun(placement.run.run, CrashRole.LIKELY_CAUSE, isCertain = false))
             context.markChanged(placement.task.step.job)
         }
     }
@@ -94,7 +98,8 @@
     fun handleFormerTrial(jobId: String) {
         val tasks = context.jobRegistry.find(jobId)?.steps.orEmpty().flatMap { it.tasks }
         for (task in tasks.filter { it.crashes.isSuspected && !it.isDone && it.placement == null }) {
-            record(task, CrashedRun(context.firstRunNumber - 1, CrashRole.SUSPECT), isOnlySuspect = true)
+            val crash = CrashedRun(context.firstRunNumber - 1, CrashRole.SUSPECT, isCertain = true)
+            record(task, crash, isOnlySuspect = true)
         }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskCrashes.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskCrashes.kt
@@ -27,24 +27,25 @@
 
     /** Records a crash; a run counts once, however often its crash is found. */
     fun record(crash: CrashedRun) {
-        byRun.putIfAbsent(crash.run, crash)
+        if (byRun[crash.run]?.isCertain != true) byRun[crash.run] = crash
     }
 
-    /** Removes a recorded crash that did not happen; false if there is none. */
-    fun withdraw(run: Long): Boolean = byRun.remove(run) != null
+    /** Removes a presumed crash that did not happen; false if there is none. */
+    fun withdraw(run: Long): Boolean = byRun[run]?.isCertain == false && byRun.remove(run) != null
 
     /** The task has survived a start, so it did not cause the earlier crashes. */
     fun clearSuspicion() = byRun.replaceAll { _, crash -> crash.copy(role = CrashRole.VICTIM) }
 
     /** True if the task is to be given up; [isOnlySuspect] says that no other task can have caused the last crash. */
     fun isCause(isOnlySuspect: Boolean, isService: Boolean): Boolean {
-        val likely = byRun.values.count { it.role == CrashRole.LIKELY_CAUSE }
-        val suspected = byRun.values.count { it.role != CrashRole.VICTIM }
+        val certain = byRun.values.filter { it.isCertain }
+        val likely = certain.count { it.role == CrashRole.LIKELY_CAUSE }
+        val suspected = certain.count { it.role != CrashRole.VICTIM }
         return when {
             isOnlySuspect && likely >= LIKELY_CRASHES_UNTIL_GIVEN_UP -> true
             isOnlySuspect && suspected >= SUSPECTED_CRASHES_UNTIL_GIVEN_UP -> true
             // A service task runs until it is cancelled, so crashes that it did not cause add up.
-            else -> !isService && byRun.size >= CRASHES_UNTIL_GIVEN_UP
+            else -> !isService && certain.size >= CRASHES_UNTIL_GIVEN_UP
         }
     }
 }
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentWorkerTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentWorkerTest.kt
@@ -86,8 +86,8 @@
     }
 
     /**
-     * Guards against runs of a crashed worker that wait for the end of its leases, although the answers of its successor
-     * show that it no longer exists.
+     * Guards against runs of a crashed worker that wait for the end of its leases, although the answers of its
+     * successor show that it no longer exists.
      */
     @Test
     fun `runs of a crashed worker start elsewhere once another worker answers at its address`() = runTest {
