Test that a worker whose capacity shrinks gets no more than it has left

The scheduler follows the worker's entry already; the test shows it for a worker that shrinks below what it runs, and that it is used in full after it has grown back. It passes without a change of the scheduler.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
@@ -15,6 +15,7 @@
 /** Tasks of 3 processors on a worker of 16. */
 private const val SMALL_TASKS_PER_WORKER = 5
 private const val URGENT = "00000000000000bb"
+private const val WIDE = "00000000000000cc"
 
 /** Time after which as many tasks of a flood end as start. */
 private const val FLOOD_WARM_UP_MS = 2_000L
@@ -120,6 +121,23 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
+    /** Guards against starts beyond the capacity of a worker that has shrunk, and against one that stays small. */
+    @Test
+    fun `a worker whose capacity shrinks gets no more than it has left`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 22, workerCount = 2)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.submit(GANG, step(replicas = 8, cores = 4, durationMs = 1_000))
+        awaitUntil { simulation.workers.checker.runningCount == 8 }
+        simulation.workers.resize("w0", WORKER_CAPACITY.copy(processorsMillicores = 6_000))
+        simulation.submit(URGENT, step(replicas = 16, cores = 4, durationMs = 1_000))
+        assertTrue(simulation.awaitPhase(URGENT, JobPhase.COMPLETED, withinMs = 8_000))
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+        simulation.workers.resize("w0", WORKER_CAPACITY)
+        simulation.submit(WIDE, step(replicas = 8, cores = 4, durationMs = 1_000))
+        awaitUntil { simulation.workers.checker.runningCount == 8 }
+    }
+
     private suspend fun flood(simulation: SchedulerSimulation, everyMs: Long = 120, cores: Int = 3) {
         var number = 0
         while (true) {
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
@@ -17,7 +17,7 @@
 public const val MAX_LEASE_MS: Long = 6_000
 
 internal class WorkerModel(
-    val entry: WorkerEntry,
+    var entry: WorkerEntry,
     private val clock: () -> Long,
     private val faults: WorkerFaults,
     private val checker: RunInvariantChecker,
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -71,6 +71,13 @@
         onChange(WorkerChange(workerId, entry))
     }
 
+    /** Changes the capacity of a running worker, which keeps its runs even if they need more. */
+    public fun resize(workerId: String, capacity: Resources) {
+        val model = workers.getValue(workerId)
+        model.entry = model.entry.copy(capacity = capacity)
+        onChange(WorkerChange(workerId, model.entry))
+    }
+
     /** Ends the incarnation of a worker; its runs are lost. */
     public fun crash(workerId: String) {
         workers.remove(workerId)?.crash()
