Take a run as proven also if its start was confirmed without the worker's time

A start that was answered without a readable time never became proven, so the worker counted as unfit for crash trials for as long as the run lasted. The first report that lists the run now stands in.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -81,6 +81,7 @@
 
     private fun update(placement: Placement, running: RunningTask, evidence: RunEvidence) {
         val now = evidence.receivedAtMs
+        placement.recordRunning(evidence.workerClockMs)
         if (placement.state == PlacementState.ORDERED) placement.confirmStart(now, evidence.workerClockMs)
         if (placement.progress.observe(running.percent, evidence)) observeSpeed(placement, now)
         running.checkpoint?.let { placement.task.checkpoint = it }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -74,6 +74,11 @@
     fun confirmStart(nowMs: Long, workerMs: Long?) {
         state = PlacementState.RUNNING
         confirmedAtMs = nowMs
+        workerMs?.let { recordRunning(it) }
+    }
+
+    /** The worker has the run at [workerMs] on its clock. */
+    fun recordRunning(workerMs: Long) {
         if (startConfirmedWorkerMs == null) startConfirmedWorkerMs = workerMs
     }
 
