Let tests wait for conditions that can fail

A test of leadership waited a fixed second of virtual time for a write that takes effect late, and three tests of the proxy waited without end for an event that never comes if the attempt ends before it.

The leadership test waits until the row of the term is in the store, which is the state that it is about. The proxy's tests fail at once with the outcome of an attempt that ends first. Nothing is checked less than before.

--- a/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
+++ b/requests/src/test/kotlin/dev/bronzeshore/requests/RequestProxyTest.kt
@@ -5,18 +5,21 @@
 import io.ktor.utils.io.close
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertInstanceOf
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Assertions.fail
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -115,8 +118,8 @@
             coroutineScope {
                 val body = ByteChannel()
                 val writer = launch { writePattern(body, 67_108_864, CRC32()) }
-                val call = launch { attempt(endpoint.address, request("POST", "/", body, 67_108_864)) }
-                started.await()
+                val call = async { attempt(endpoint.address, request("POST", "/", body, 67_108_864)) }
+                awaitDuring(call, started)
                 // The writer must be blocked: the kernel's socket buffers hold only a few MiB.
                 assertNull(withTimeoutOrNull(1_000) { writer.join() }, "the whole body was buffered")
                 call.cancelAndJoin()
@@ -160,14 +163,20 @@
             }
             coroutineScope {
                 val body = ReplayableBody(request.body, 0, false)
-                val call = launch { proxy.attempt(endpoint.address, request, body, Long.MAX_VALUE, slow) }
-                stuck.await()
+                val call = async { proxy.attempt(endpoint.address, request, body, Long.MAX_VALUE, slow) }
+                awaitDuring(call, stuck)
                 assertNull(withTimeoutOrNull(1_000) { written.await() }, "the whole response was buffered")
                 call.cancelAndJoin()
             }
         }
     }
 
+    /** Waits for [event]; fails with the outcome of [call] if the attempt ends first. */
+    private suspend fun awaitDuring(call: Deferred<AttemptEnd>, event: Deferred<Unit>) = select {
+        event.onAwait {}
+        call.onAwait { fail<Unit>("the attempt ended first: $it") }
+    }
+
     private suspend fun writePattern(body: ByteChannel, size: Long, sent: CRC32) {
         val block = ByteArray(65_536) { (it * 31).toByte() }
         var left = size
@@ -262,8 +271,8 @@
         serving(hang) { endpoint ->
             coroutineScope {
                 val body = ByteChannel()
-                val call = launch { attempt(endpoint.address, request("POST", "/", body, 10)) }
-                started.await()
+                val call = async { attempt(endpoint.address, request("POST", "/", body, 10)) }
+                awaitDuring(call, started)
                 call.cancelAndJoin()
                 withTimeout(10_000) { closed.await() }
             }
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderElectionTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LeaderElectionTest.kt
@@ -4,6 +4,7 @@
 package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.leadership.LeaderElection
 import dev.bronzeshore.leadership.LeadershipCallbacks
 import dev.bronzeshore.standins.cluster.StoreStandIn
@@ -118,7 +119,7 @@
         cluster.store.faults.lostResponseShare = 1.0
         cluster.store.faults.lostWriteDelayMs = 900
         val candidate = cluster.boot("n0")
-        delay(1_000)
+        awaitUntil { cluster.store.rowsOf(Tables.LEADER).any { it.id == Tables.TERM_ROW } }
         cluster.store.faults.lostResponseShare = 0.0
         assertEquals(candidate, listOf(candidate).awaitLeader(withinMs = 1_500))
     }
