Serve client accounts: keys, strict withdrawal, limits and shares

Cause: the program on the platform knew no client account.

Accounts are read from the configuration; without them nothing changes. A process serves a key only while it can prove that its configuration is recent enough (accounts/ConfigProof), from the change feed or from a peer. The leader holds accounts to their limits from the runs that may exist, also just after a takeover, and orders waiting steps by rate and share of their accounts. A gang at its account's limit keeps the rest of it, as small tasks took each place before it.

ConfigWatcherTest found that a malformed configuration counted as proven by the next empty feed response; mended. The invariant checker of the stand-ins checks limits of accounts.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/ClusterSettings.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/ClusterSettings.kt
@@ -19,6 +19,8 @@
     public val earlyStartMs: Long,
     /** Factor by which a task is slower away from its data or its rack. */
     public val remoteFactor: Double,
+    /** Time after the withdrawal of a key from which no call with it may be served; null if there is no such bound. */
+    public val keyWithdrawalMs: Long? = null,
 )
 
 /** All settings of a process. */
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobDescription.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobDescription.kt
@@ -87,4 +87,6 @@
     public val terms: QueueTerms,
     /** Wall-clock time of the acceptance; used for ordering only. */
     public val acceptedAtMs: Long,
+    /** Name of the client account that submitted the job; null without accounts. */
+    public val account: String? = null,
 )
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -21,10 +21,14 @@
         val ageMs = (context.wallClock() - accepted.acceptedAtMs).coerceIn(0, MAX_AGE_MS)
         val now = context.clock()
         val job = jobs.add(accepted, now - ageMs, now, version) ?: return
+        job.isBeyondRate =
+            context.submissionRates.exceedsRate(context.accounts(), accepted.account, accepted.acceptedAtMs)
         context.log.event(
             "job_known",
             "job" to job.id,
             "queue" to job.terms.queue,
+            "account" to accepted.account,
+            "beyond_rate" to job.isBeyondRate.takeIf { it },
             "phase" to job.phase,
             "version" to version,
             "age_ms" to ageMs,
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -7,6 +7,7 @@
 
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.ClientAccounts
 import dev.bronzeshore.core.cluster.ClusterBounds
 import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.JobPhase
@@ -17,7 +18,6 @@
 import dev.bronzeshore.core.cluster.WorkerChange
 import dev.bronzeshore.core.cluster.decodeRow
 import dev.bronzeshore.core.cluster.isEnded
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -44,6 +44,9 @@
 private const val WORKER_FEED_PAUSE_MS = 200L
 private const val RETRY_MS = 150L
 
+/** The table of the store in which workers register, and the decoder of its rows. */
+public class WorkerDirectory(public val table: String, public val decode: (StoredRow) -> WorkerChange)
+
 /** What a leader needs from the process that runs it. */
 public class LeaderDependencies(
     public val store: ClusterStore,
@@ -54,10 +57,11 @@
     public val metrics: SchedulerMetrics,
     public val renewal: TermRenewal,
     public val adviceClients: () -> List<AdviceClient>,
-    public val workerTable: String,
-    public val decodeWorker: (StoredRow) -> WorkerChange,
+    public val workers: WorkerDirectory,
     /** Ends the term: a worker refused the fencing token, or the term row shows that another process leads. */
     public val onLeadershipLost: suspend () -> Unit,
+    /** The client accounts of the configuration in force; null if it has none. */
+    public val accounts: () -> ClientAccounts? = { null },
 )
 
 /** Runs one term; [run] ends only by cancellation. */
@@ -70,7 +74,7 @@
     private var jobLifecycle: JobLifecycle? = null
 
     public suspend fun run(): Unit = coroutineScope {
-        val context = newContext(this).also { currentContext = it }
+        val context = TermContext(term, termRowVersion, dependencies, this).also { currentContext = it }
         val stopper = RunStopper(context)
         val lifecycle = JobLifecycle(context, stopper)
         val quarantine = Quarantine(context)
@@ -80,7 +84,7 @@
         val registry = WorkerRegistry(context, reports, lifecycle, JobLookup(context, lifecycle), crashes)
         val journal = ProgressJournal(context)
         val recovery = Recovery(context, dependencies, lifecycle, registry, journal)
-        val planner = Planner(context, trials, recovery::mayStart)
+        val planner = Planner(context, trials, UnknownUsage(context, registry), recovery::mayStart)
         val starter = TaskStarter(context, stopper, trials)
         val advice = AdviceDispatcher(context, dependencies.adviceClients)
         val wakePlanner = Channel<Unit>(Channel.CONFLATED)
@@ -118,18 +122,18 @@
         }
     }
 
-    private fun newContext(scope: CoroutineScope) = TermContext(
-        term, termRowVersion, dependencies.store, dependencies.calls, dependencies.bounds, dependencies.clock,
-        dependencies.wallClock, scope, dependencies.metrics, dependencies.renewal, dependencies.onLeadershipLost,
-    )
-
     private suspend fun followIntake(lifecycle: JobLifecycle, fromVersion: Long) {
         followTable(Tables.INTAKE, fromVersion, pauseMs = 0) { rows -> rows.forEach { applyIntakeRow(it, lifecycle) } }
     }
 
     private suspend fun followWorkers(registry: WorkerRegistry, fromVersion: Long) {
-        followTable(dependencies.workerTable, fromVersion, WORKER_FEED_PAUSE_MS, registry::onDirectoryFailure) { rows ->
-            rows.forEach { registry.apply(dependencies.decodeWorker(it)) }
+        followTable(
+            dependencies.workers.table,
+            fromVersion,
+            WORKER_FEED_PAUSE_MS,
+            registry::onDirectoryFailure,
+        ) { rows ->
+            rows.forEach { registry.apply(dependencies.workers.decode(it)) }
         }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -7,25 +7,42 @@
  */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.ClientAccounts
+
 /** The starts of a round, and what steps need from the advice service before they can start. */
 internal class Plan(val starts: List<PlannedStart>, val adviceNeeds: List<AdviceNeed>)
 
 internal class Planner(
     private val context: TermContext,
     private val trials: CrashTrials,
+    private val unknownUsage: UnknownUsage,
     /** False while runs of the job that a former leader started may exist without this leader knowing them. */
     private val mayStart: (TrackedJob) -> Boolean,
 ) {
     fun plan(): Plan {
         val now = context.clock()
         trials.update(now)
-        val round = PlanningRound(context, now, context.firstRunNumber, trials)
-        rankedSteps(now).forEach { round.place(it.step) }
+        val accounts = context.accounts()
+        val budget = AccountBudget(accounts, context.workerPool.accountUsage, unknownUsage::of)
+        val round = PlanningRound(context, now, context.firstRunNumber, trials, budget)
+        val waiting = waitingSteps(now)
+        val ranked = if (accounts == null) waiting else markOverShare(waiting, accounts)
+        ranked.sortedWith(STEP_ORDER).forEach { round.place(it.step) }
         if (context.confirmation.isWanted) context.wakeJournal()
         return Plan(round.starts, round.adviceNeeds)
     }
 
-    private fun rankedSteps(now: Long): List<RankedStep> {
+    private fun markOverShare(steps: List<RankedStep>, accounts: ClientAccounts): List<RankedStep> {
+        val pool = context.workerPool
+        val waitingAccounts = steps.mapNotNullTo(HashSet()) { it.step.job.accepted.account }
+        val shares = AccountShares(accounts, pool.accountUsage, pool.capacity, waitingAccounts)
+        return steps.map { ranked ->
+            val account = ranked.step.job.accepted.account
+            if (account != null && shares.isOverShare(account)) ranked.copy(isOverShare = true) else ranked
+        }
+    }
+
+    private fun waitingSteps(now: Long): List<RankedStep> {
         val wallClockMs = context.wallClock()
         val ranked = ArrayList<RankedStep>()
         for (job in context.jobRegistry.openJobs) {
@@ -36,6 +53,6 @@
                 if (isDue && step.hasPendingTasks && step.isUnblocked) ranked += rank(step, now, delayMs)
             }
         }
-        return ranked.sortedWith(STEP_ORDER)
+        return ranked
     }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -26,6 +26,7 @@
     private val now: Long,
     private val firstRunNumber: Long,
     private val trials: CrashTrials,
+    private val budget: AccountBudget,
 ) {
     private val workersByService = HashMap<String, List<RoundWorker>>()
     private val tasksWithStrayRuns = context.workerPool.tasksWithStrayRuns()
@@ -35,8 +36,10 @@
     val adviceNeeds = ArrayList<AdviceNeed>()
 
     fun place(step: TrackedStep) {
-        val tasks = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
-        if (tasks.isEmpty() || step.description.isGang && tasks.size < step.tasks.size) return
+        val startable = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
+        if (startable.isEmpty() || step.description.isGang && startable.size < step.tasks.size) return
+        val tasks = withinLimit(step, startable)
+        if (tasks.isEmpty()) return
         val workers = workersFor(step)
         val good = if (step.needsAdvice) workers.filter { step.advice.mayRunOn(it.worker.incarnation) } else workers
         val assignments = assign(step, tasks, good)
@@ -50,6 +53,24 @@
         }
     }
 
+    /**
+     * The tasks that may start within the limit of the step's account; none of a gang if not all may.
+     *
+     * A gang that has to wait for its account's limit keeps the rest of it from steps behind it. Otherwise their small
+     * tasks take what becomes free, and the gang never starts while the account is busy.
+     */
+    private fun withinLimit(step: TrackedStep, tasks: List<TrackedTask>): List<TrackedTask> {
+        val places = budget.placesFor(step)
+        if (places >= tasks.size) return tasks
+        step.logLimit(context, isTooLow = step.description.isGang && budget.isBeyondLimit(step, tasks.size))
+        if (!step.description.isGang) return tasks.take(places)
+        if (!budget.isBeyondLimit(step, tasks.size)) {
+            step.reserve(now + GANG_RESERVATION_MS)
+            budget.hold(step)
+        }
+        return emptyList()
+    }
+
     private val TrackedStep.needsAdvice: Boolean get() = job.terms.advice != null
 
     /** Workers that accept tasks now and are large enough for the step, whether they have free capacity or not. */
@@ -173,6 +194,7 @@
     /** Starts the tasks with valid tickets and reserves the capacity of the others until their tickets arrive. */
     private fun startOrRenew(step: TrackedStep, assignments: List<Assignment>) {
         assignments.forEach { it.target.reserve(step.taskDemand) }
+        budget.take(step, assignments.size)
         val ready = assignments.filter {
             !step.needsAdvice || step.advice.ticketFor(it.target.worker.incarnation, now) != null
         }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -39,11 +39,11 @@
     /** Reads what former leaders stored and starts the worker sessions. */
     suspend fun load(): LoadedVersions {
         val startedAtMs = context.clock()
-        val tables = listOf(dependencies.workerTable, Tables.LEADER_STATE, Tables.PROGRESS, Tables.INTAKE)
+        val tables = listOf(dependencies.workers.table, Tables.LEADER_STATE, Tables.PROGRESS, Tables.INTAKE)
         val contents = coroutineScope {
             tables.map { table -> async { table to retryUntilRead { reader.readTable(table) } } }.awaitAll().toMap()
         }
-        val workers = contents.getValue(dependencies.workerTable)
+        val workers = contents.getValue(dependencies.workers.table)
         val notes = contents.getValue(Tables.LEADER_STATE)
         val progress = contents.getValue(Tables.PROGRESS)
         val intake = contents.getValue(Tables.INTAKE)
@@ -51,7 +51,7 @@
         progress.rows.forEach { restoreProgress(it) }
         // Ended jobs are not decoded: after some minutes they are most of the table.
         intake.rows.filterNot { context.jobRegistry.isEnded(it.id.key) }.forEach { applyIntakeRow(it, lifecycle) }
-        workers.rows.map { dependencies.decodeWorker(it) }.forEach { registry.addListed(it) }
+        workers.rows.map { dependencies.workers.decode(it) }.forEach { registry.addListed(it) }
         journal.adopt(roster, notes.rows.firstOrNull { it.id == Tables.JOURNAL_ROW }?.version ?: 0)
         roster.forEach { registry.addFormer(it) }
         notes.rows.firstOrNull { it.id == Tables.SPEEDS_ROW }?.let { restoreSpeeds(it) }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -1,7 +1,6 @@
 /** Reconciles the state that the leader tracks with the runs and ends that a worker reports. */
 package dev.bronzeshore.scheduler
 
-import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.cluster.HoldAnswer
 import dev.bronzeshore.core.cluster.RunningTask
 import dev.bronzeshore.core.cluster.TaskEnd
@@ -120,8 +119,9 @@
 
     private fun addStray(worker: TrackedWorker, run: TaskRun) {
         // The demand of a forgotten job is unknown: nothing else starts on the worker until the run has ended.
-        val demand: Resources = context.jobRegistry.task(run.task)?.step?.taskDemand ?: worker.entry.capacity
-        worker.addStray(run, demand)
+        val step = context.jobRegistry.task(run.task)?.step
+        val stray = step?.let { StrayRun(it.taskDemand, it.job.accepted.account, it.accountDemand) }
+        worker.addStray(run, stray ?: StrayRun(worker.entry.capacity))
         if (context.jobRegistry.isSetAside(run.task.jobId)) return
         stopper.stopStray(worker, run, "the run is not wanted on this worker")
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
@@ -2,7 +2,9 @@
  * The order in which the planner goes through the waiting steps.
  *
  * Work that can still end within its objective goes first, by the operators' priority and then by its latest start.
- * Late work is worth less to its caller and follows; work that is too late to be worth anything comes last.
+ * Late work is worth less to its caller and follows; work that is too late to be worth anything comes last. Where there
+ * are client accounts, work beyond the rate of its account comes after all other work, and work of accounts above their
+ * share of the workers after that of the others.
  */
 package dev.bronzeshore.scheduler
 
@@ -18,7 +20,13 @@
 /** How late a step's job will be if it starts now. */
 internal enum class Lateness { IN_TIME, LATE, WORTHLESS }
 
-internal data class RankedStep(val step: TrackedStep, val lateness: Lateness, val latestStartMs: Long)
+internal data class RankedStep(
+    val step: TrackedStep,
+    val lateness: Lateness,
+    val latestStartMs: Long,
+    /** The step's account uses more than its share of the workers. */
+    val isOverShare: Boolean = false,
+)
 
 internal fun rank(step: TrackedStep, nowMs: Long, startDelayMs: Long): RankedStep {
     val job = step.job
@@ -35,6 +43,8 @@
     return RankedStep(step, lateness, objectiveEndMs - job.remainingCriticalPathMs(step))
 }
 
-internal val STEP_ORDER: Comparator<RankedStep> = compareBy<RankedStep> { it.lateness }
+internal val STEP_ORDER: Comparator<RankedStep> = compareBy<RankedStep> { it.step.job.isBeyondRate }
+    .thenBy { it.lateness }
+    .thenBy { it.isOverShare }
     .thenBy { it.step.job.terms.priority }
     .thenBy { it.latestStartMs }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -3,6 +3,7 @@
 
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.cluster.ClientAccounts
 import dev.bronzeshore.core.cluster.ClusterBounds
 import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.RowId
@@ -30,19 +31,26 @@
 internal class TermContext(
     val term: Long,
     val termRowVersion: Long,
-    val store: ClusterStore,
-    val calls: WorkerCalls,
-    val bounds: ClusterBounds,
+    dependencies: LeaderDependencies,
+    val scope: CoroutineScope,
+) {
+    val store: ClusterStore = dependencies.store
+    val calls: WorkerCalls = dependencies.calls
+    val bounds: ClusterBounds = dependencies.bounds
+
     /** Monotonic clock. */
-    val clock: ClockMs,
+    val clock: ClockMs = dependencies.clock
+
     /** Clock for schedules and stored times. */
-    val wallClock: ClockMs,
-    val scope: CoroutineScope,
-    val metrics: SchedulerMetrics,
-    val renewal: TermRenewal,
+    val wallClock: ClockMs = dependencies.wallClock
+    val metrics: SchedulerMetrics = dependencies.metrics
+    val renewal: TermRenewal = dependencies.renewal
+
     /** Called when a worker refuses the fencing token or the term row shows that another process leads. */
-    val onLeadershipLost: suspend () -> Unit,
-) {
+    val onLeadershipLost: suspend () -> Unit = dependencies.onLeadershipLost
+
+    /** The client accounts of the configuration in force; null if it has none. */
+    val accounts: () -> ClientAccounts? = dependencies.accounts
     val log = EventLog("scheduler")
     val firstRunNumber = (term - 1) * RUNS_PER_TERM + 1
     val workerPool = WorkerPool()
@@ -50,6 +58,7 @@
     val adviceShares = AdviceShares()
     val confirmation = TermConfirmation(termRowVersion, renewal.renewedAtMs)
     val changes = UnsavedChanges()
+    val submissionRates = SubmissionRates()
 
     /** All changes up to this number are stored. */
     var savedChangeNumber: Long = 0
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
@@ -18,6 +18,9 @@
     val id: String get() = accepted.jobId
     val terms get() = accepted.terms
     var phase: JobPhase = JobPhase.PENDING
+
+    /** Its account submitted the job beyond the rate that it may rely on. */
+    var isBeyondRate: Boolean = false
     var endedAtMs: Long? = null
 
     /** Last stored phase, which callers may see: an end is shown only once it is stored. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -23,6 +23,24 @@
         if (reservedUntilMs == null) reservedUntilMs = untilMs
     }
 
+    private var hasLoggedLimit = false
+
+    /** Logs once that the step waits for its account's limit; [isTooLow] if it cannot start under this limit at all. */
+    fun logLimit(context: TermContext, isTooLow: Boolean) {
+        if (hasLoggedLimit) return
+        hasLoggedLimit = true
+        val account = job.accepted.account
+        context.log.event(
+            "limit_reached",
+            "job" to job.id,
+            "step" to name,
+            "account" to account,
+            "used" to account?.let { context.workerPool.accountUsage.of(it) },
+            "limit" to account?.let { context.accounts()?.named(it)?.limit },
+            "too_low" to isTooLow.takeIf { it },
+        )
+    }
+
     val isDone: Boolean get() = tasks.all { it.isDone }
     val hasStarted: Boolean get() = tasks.any { it.hasStarted }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -9,7 +9,10 @@
 /** A reported end that is not acknowledged before the progress of its job is stored. */
 internal data class UnsavedEnd(val number: Long, val changeNumber: Long)
 
-internal class TrackedWorker(entry: WorkerEntry) {
+/** What a run takes from its worker and from its client account; [account] is null if it is not known. */
+internal data class StrayRun(val demand: Resources, val account: String? = null, val accountDemand: Resources = demand)
+
+internal class TrackedWorker(entry: WorkerEntry, private val accountUsage: AccountUsage = AccountUsage()) {
     var entry: WorkerEntry = entry
         private set
     val incarnation: WorkerIncarnation = entry.incarnation
@@ -19,8 +22,8 @@
     /** Runs that this leader started or adopted. */
     private val placed = LinkedHashMap<TaskRun, Placement>()
 
-    /** Runs that the worker reports but must not have, with the capacity that they take. */
-    private val strays = HashMap<TaskRun, Resources>()
+    /** Runs that the worker reports but must not have. */
+    private val strays = HashMap<TaskRun, StrayRun>()
     private var used = Resources.NONE
 
     /** The worker has seen this leader's fencing token, so it rejects requests of former leaders. */
@@ -130,21 +133,32 @@
     fun add(placement: Placement) {
         placed[placement.run] = placement
         used += demandOf(placement)
+        placement.task.step.let { accountUsage.add(it.job.accepted.account, it.accountDemand) }
     }
 
     fun remove(placement: Placement) {
-        if (placed.remove(placement.run) != null) used -= demandOf(placement)
+        if (placed.remove(placement.run) != null) {
+            used -= demandOf(placement)
+            placement.task.step.let { accountUsage.remove(it.job.accepted.account, it.accountDemand) }
+        }
         if (placement.task.placement === placement) placement.task.placement = null
     }
 
-    fun addStray(run: TaskRun, demand: Resources) {
-        if (strays.put(run, demand) == null) used += demand
+    fun addStray(run: TaskRun, stray: StrayRun) {
+        if (strays.putIfAbsent(run, stray) != null) return
+        used += stray.demand
+        accountUsage.add(stray.account, stray.accountDemand)
     }
 
     fun removeStray(run: TaskRun) {
-        strays.remove(run)?.let { used -= it }
+        val stray = strays.remove(run) ?: return
+        used -= stray.demand
+        accountUsage.remove(stray.account, stray.accountDemand)
     }
 
+    /** Forgets the stray runs of a worker that is gone. */
+    fun removeAllStrays() = strayRuns.toList().forEach { removeStray(it) }
+
     fun accepts(nowMs: Long): Boolean = isContacted &&
         isListed &&
         isReachable &&
--- /dev/null
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
@@ -0,0 +1,31 @@
+/**
+ * Bounds what accounts may have running on workers that have not reported to this leader since the takeover.
+ *
+ * Only jobs that were stored before the takeover can have such runs, and the runs take no more than these workers have.
+ */
+package dev.bronzeshore.scheduler
+
+import dev.bronzeshore.core.Resources
+
+internal class UnknownUsage(private val context: TermContext, private val registry: WorkerRegistry) {
+    /** Most that unknown runs of [account] may take now. */
+    fun of(account: String): Resources {
+        if (!registry.hasUnknownRuns) return Resources.NONE
+        val wanted = context.jobRegistry.openJobs
+            .filter { it.accepted.account == account && mayHaveUnknownRuns(it) }
+            .flatMap { it.steps }
+            .fold(Resources.NONE) { sum, step -> sum + step.accountDemand * step.tasks.count { it.isUnplaced } }
+        return registry.unreportedCapacity?.let { wanted.atMost(it) } ?: wanted
+    }
+
+    private fun mayHaveUnknownRuns(job: TrackedJob) =
+        !context.confirmation.isNewerThanTerm(job) && registry.mayHaveUnknownRuns(job.id)
+}
+
+private val TrackedTask.isUnplaced: Boolean get() = !isDone && placement == null
+
+private fun Resources.atMost(other: Resources) = Resources(
+    minOf(processorsMillicores, other.processorsMillicores),
+    minOf(memoryBytes, other.memoryBytes),
+    minOf(accelerators, other.accelerators),
+)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
@@ -1,6 +1,7 @@
 /** The workers that the leader knows, by incarnation. Not thread-safe. */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.Resources
 import dev.bronzeshore.core.cluster.TaskName
 import dev.bronzeshore.core.cluster.TaskRun
 import dev.bronzeshore.core.cluster.WorkerEntry
@@ -8,6 +9,7 @@
 
 internal class WorkerPool {
     val speeds = SpeedEstimator()
+    val accountUsage = AccountUsage()
     private val byIncarnation = LinkedHashMap<WorkerIncarnation, TrackedWorker>()
 
     val workers: Collection<TrackedWorker> get() = byIncarnation.values
@@ -24,10 +26,14 @@
 
     fun find(incarnation: WorkerIncarnation): TrackedWorker? = byIncarnation[incarnation]
 
-    fun add(entry: WorkerEntry): TrackedWorker = TrackedWorker(entry).also { byIncarnation[entry.incarnation] = it }
+    fun add(entry: WorkerEntry): TrackedWorker = TrackedWorker(entry, accountUsage).also {
+        byIncarnation[entry.incarnation] =
+            it
+    }
 
     fun remove(worker: TrackedWorker) {
         byIncarnation.remove(worker.incarnation)
+        worker.removeAllStrays()
     }
 
     fun withId(workerId: String): List<TrackedWorker> = byIncarnation.values.filter { it.id == workerId }
@@ -43,6 +49,11 @@
         return tasks
     }
 
+    /** Capacity of all workers that are not about to leave. */
+    val capacity: Resources
+        get() = byIncarnation.values.filter { it.isListed && !it.entry.isDraining }
+            .fold(Resources.NONE) { sum, worker -> sum + worker.entry.capacity }
+
     /** Workers of a service that take new tasks now. */
     fun accepting(service: String, nowMs: Long): List<TrackedWorker> =
         byIncarnation.values.filter { it.entry.service == service && it.accepts(nowMs) }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -47,6 +47,14 @@
     /** True while runs that a former leader started may exist on workers that have not reported yet. */
     val hasUnknownRuns: Boolean get() = hasUnknownWorkers || unreportedWorkers.isNotEmpty()
 
+    /** Capacity of the workers on which such runs may exist; null if it is not known of all of them. */
+    val unreportedCapacity: Resources?
+        get() {
+            val unreported = unreportedWorkers
+            if (hasUnknownWorkers || unreported.any { it.entry.capacity == Resources.NONE }) return null
+            return unreported.fold(Resources.NONE) { sum, worker -> sum + worker.entry.capacity }
+        }
+
     private val hasUnknownWorkers: Boolean get() = isRosterUnknown && context.clock() < formerLeasesUntilMs
 
     /** True if such a run may belong to the job. */
@@ -172,7 +180,7 @@
             worker.placements.toList().forEach {
                 lifecycle.lost(it, "its lease has expired and its worker does not answer")
             }
-            worker.strayRuns.toList().forEach { worker.removeStray(it) }
+            worker.removeAllStrays()
         }
     }
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -13,9 +13,11 @@
 private const val MS_PER_SECOND = 1_000.0
 private val DURATION_BUCKETS_SECONDS = doubleArrayOf(0.005, 0.02, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
 
-internal class ClusterMetrics(configVersion: () -> Long, term: () -> Long) {
+internal class ClusterMetrics(configVersion: () -> Long, configAgeMs: () -> Long, term: () -> Long) {
     private val registry = PrometheusRegistry()
     private val answers = counter("bronzeshore_caller_answers_total", "Answers to callers.", "method", "status")
+    private val refusedCalls =
+        counter("bronzeshore_refused_calls_total", "Calls refused because of their key.", "reason")
     private val starts = counter("bronzeshore_starts_total", "Start orders by result.", "result")
     private val ends = counter("bronzeshore_run_ends_total", "Ends of runs by kind.", "kind")
     private val runsLost = counter("bronzeshore_runs_lost_total", "Runs that ended without a reported end.")
@@ -36,11 +38,18 @@
 
     init {
         gauge("bronzeshore_configuration_version", "Configuration in force.", configVersion)
+        gauge(
+            "bronzeshore_configuration_age_ms",
+            "Time since the configuration was known to be the newest.",
+            configAgeMs,
+        )
         gauge("bronzeshore_leader_term", "Term that this process leads, or 0.", term)
     }
 
     fun countAnswer(method: String, status: Int) = answers.labelValues(method, status.toString()).inc()
 
+    fun countRefusedCall(reason: String) = refusedCalls.labelValues(reason).inc()
+
     fun countUnexpectedError(work: String) = unexpectedErrors.labelValues(work).inc()
 
     fun forScheduler() = SchedulerMetrics(
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -2,13 +2,18 @@
 package dev.bronzeshore.server.cluster
 
 import arrow.core.right
+import dev.bronzeshore.accounts.ConfigProof
+import dev.bronzeshore.accounts.decideAccess
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.MonotonicClock
 import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.AccessDecision
+import dev.bronzeshore.core.cluster.ClusterConfig
 import dev.bronzeshore.core.cluster.ClusterSettings
 import dev.bronzeshore.core.cluster.JobOperations
 import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.core.cluster.Queue
 import dev.bronzeshore.core.cluster.StateAnswer
 import dev.bronzeshore.core.cluster.SubmitAnswer
 import dev.bronzeshore.intake.createStoreJobOperations
@@ -28,6 +33,7 @@
 import dev.bronzeshore.scheduler.LeaderDependencies
 import dev.bronzeshore.scheduler.LeaderTermRunner
 import dev.bronzeshore.scheduler.TermRenewal
+import dev.bronzeshore.scheduler.WorkerDirectory
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
@@ -83,10 +89,15 @@
         leaderCapacity(settings.processorShare, settings.linkMbps),
     )
     private val directory: NodeDirectory = NodeDirectory(store, ownRow) { election.currentTerm != null }
-    private val config = ConfigWatcher(store, MonotonicClock, { directory.peers }) { peer, version ->
-        peerClient.call(peer, CONFIG_CALL, ConfigRequest(version), CONFIG_TIMEOUT_MS)?.content
+    private val configProof = ConfigProof(MonotonicClock, wallClock, settings.bounds.keyWithdrawalMs)
+    private val config = ConfigWatcher(store, MonotonicClock, configProof, { directory.peers }) { peer, version ->
+        peerClient.call(peer, CONFIG_CALL, ConfigRequest(version), CONFIG_TIMEOUT_MS)
     }
-    private val metrics = ClusterMetrics({ config.current?.version ?: 0 }, { election.currentTerm?.term ?: 0 })
+    private val metrics = ClusterMetrics(
+        configVersion = { config.current?.version ?: 0 },
+        configAgeMs = { configProof.ageMs ?: 0 },
+        term = { election.currentTerm?.term ?: 0 },
+    )
     private val localJobs: JobOperations =
         createStoreJobOperations(store, MonotonicClock, { health.isAvailable }, scope)
     private val jobs = JobRequestForwarder(localJobs, health, { directory.peers }, peerClient)
@@ -119,7 +130,8 @@
             CallerServerContext(
                 jobs = trackedJobs(),
                 config = { config.current },
-                isReady = { config.current != null && !isStopping },
+                decideAccess = ::decideCall,
+                isReady = ::isReady,
                 isStopping = { isStopping },
                 clock = wallClock,
                 metrics = metrics::scrape,
@@ -221,9 +233,9 @@
         metrics = metrics.forScheduler(),
         renewal = TermRenewal(election::dueHeartbeat, election::recordRenewal) { election.renewedAtMs },
         adviceClients = ::adviceClients,
-        workerTable = PlatformClient.WORKER_TABLE,
-        decodeWorker = PlatformClient::parseWorkerChange,
+        workers = WorkerDirectory(PlatformClient.WORKER_TABLE, PlatformClient::parseWorkerChange),
         onLeadershipLost = { scope.launch(control) { election.stepDown(won) } },
+        accounts = { config.current?.accounts },
     )
 
     private fun adviceClients(): List<AdviceClient> {
@@ -255,9 +267,31 @@
         },
         handlerOf(CANCEL_CALL) { CancelReply(onControlThread { localJobs.cancel(it.jobId) }).right() },
         handlerOf(COUNT_CALL) { CountReply(onControlThread { localJobs.waitingJobCount(it.queue) }).right() },
-        handlerOf(CONFIG_CALL) { ConfigReply(config.contentNewerThan(it.knownVersion)).right() },
+        handlerOf(CONFIG_CALL) { config.replyFor(it.knownVersion).right() },
     )
 
+    /** False also while keys cannot be checked, so that callers reach processes that can. */
+    private fun isReady(): Boolean {
+        val current = config.current ?: return false
+        return !isStopping && (current.accounts == null || configProof.isRecent)
+    }
+
+    private fun decideCall(current: ClusterConfig, queue: Queue, key: String?): AccessDecision {
+        val decision = decideAccess(current.accounts, queue, key) { configProof.isRecent }
+        if (decision !is AccessDecision.Granted) {
+            val reason = if (decision is AccessDecision.UnknownKey) "unknown_key" else "unproven_config"
+            metrics.countRefusedCall(reason)
+            log.event(
+                "call_refused",
+                "queue" to queue.terms.queue,
+                "reason" to reason,
+                "version" to current.version,
+                "proof_age_ms" to configProof.ageMs,
+            )
+        }
+        return decision
+    }
+
     private suspend fun submit(job: AcceptedJob): SubmitAnswer {
         val answer = jobs.submit(job)
         if (answer is SubmitAnswer.Accepted && health.typicalWriteMs > ANNOUNCE_MIN_LATENCY_MS) {
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterSettingsFile.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterSettingsFile.kt
@@ -21,6 +21,7 @@
     val statusRetentionSeconds: Double,
     val earlyStartMs: Long,
     val remoteFactor: Double,
+    val keyWithdrawalMs: Long? = null,
 )
 
 @Serializable
@@ -65,6 +66,7 @@
     )
     for ((name, value) in addresses) if (parseAddress(value) == null) add("$name: '$value' is not HOST:PORT")
     if (file.processName.isBlank()) add("processName: must not be empty")
+    if ((file.bounds.keyWithdrawalMs ?: 1) <= 0) add("bounds.keyWithdrawalMs: must be greater than 0")
     if (file.bounds.maxLeaseMs <= 0) add("bounds.maxLeaseMs: must be greater than 0")
 }
 
@@ -87,6 +89,7 @@
         statusRetentionMs = (bounds.statusRetentionSeconds * MS_PER_SECOND).toLong(),
         earlyStartMs = bounds.earlyStartMs,
         remoteFactor = bounds.remoteFactor,
+        keyWithdrawalMs = bounds.keyWithdrawalMs,
     ),
 )
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ConfigWatcher.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ConfigWatcher.kt
@@ -2,6 +2,8 @@
 package dev.bronzeshore.server.cluster
 
 import arrow.core.Either
+import dev.bronzeshore.accounts.ConfigProof
+import dev.bronzeshore.accounts.ProofTime
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.cluster.ClusterConfig
@@ -26,14 +28,18 @@
 internal class ConfigWatcher(
     private val store: ClusterStore,
     private val clock: ClockMs,
+    private val proof: ConfigProof,
     private val peers: () -> List<NodeRow>,
-    /** Returns the configuration of a peer if it is newer than the given version, or null. */
-    private val fetchFromPeer: suspend (NodeRow, version: Long) -> ByteArray?,
+    /** Asks a peer for its configuration if it is newer than the given version; null if the peer does not respond. */
+    private val fetchFromPeer: suspend (NodeRow, version: Long) -> ConfigReply?,
 ) {
     private val log = EventLog("config")
     private var content: ByteArray? = null
     private var feedVersion = 0L
 
+    /** A configuration arrived that could not be decoded, and no newer one since. */
+    private var isNewestMalformed = false
+
     /** Monotonic time of the store's last response; far in the past before the first one. */
     private var lastStoreAnswerAtMs = Long.MIN_VALUE / 2
 
@@ -64,6 +70,7 @@
     private suspend fun watchStore() {
         while (!readAll()) delay(RETRY_MS)
         while (true) {
+            val sentAt = proof.now()
             store.changes(PlatformClient.OPERATOR_TABLE, feedVersion, CHANGE_FEED_WAIT_MS).fold(
                 ifLeft = { failure ->
                     if (failure is ReadFailure.HistoryGone) readAll()
@@ -72,27 +79,39 @@
                 ifRight = { page ->
                     lastStoreAnswerAtMs = clock()
                     page.rows.forEach(::applyRow)
+                    recordProof(sentAt)
                     feedVersion = maxOf(feedVersion, page.version)
                 },
             )
         }
     }
 
-    /** The configuration if it is newer than [knownVersion], for a peer that cannot reach the store. */
-    fun contentNewerThan(knownVersion: Long): ByteArray? = content.takeIf { (current?.version ?: 0) > knownVersion }
+    /** The reply to a peer that cannot reach the store. */
+    fun replyFor(knownVersion: Long): ConfigReply =
+        ConfigReply(content.takeIf { (current?.version ?: 0) > knownVersion }, proof.ageMs)
 
     private suspend fun readAll(): Boolean {
+        val sentAt = proof.now()
         val page = store.readPage(RowRangeQuery(PlatformClient.OPERATOR_TABLE, "")).getOrNull() ?: return false
         lastStoreAnswerAtMs = clock()
         page.rows.forEach(::applyRow)
+        recordProof(sentAt)
         feedVersion = maxOf(feedVersion, page.version)
         return true
     }
 
     private suspend fun pollRandomPeer() {
         val peer = peers().randomOrNull(Random) ?: return
-        fetchFromPeer(peer, current?.version ?: 0)
-            ?.let { applyContent(it, PlatformClient.parseConfig(it), "peer ${peer.processName}") }
+        val sentAt = proof.now()
+        val reply = fetchFromPeer(peer, current?.version ?: 0) ?: return
+        reply.content?.let { applyContent(it, PlatformClient.parseConfig(it), "peer ${peer.processName}") }
+        // The peer's proof covers all versions up to its own, which this process has now as well.
+        reply.provenAgeMs?.let { recordProof(sentAt, it) }
+    }
+
+    /** A configuration that cannot be decoded may withdraw keys, so nothing is proven until a newer one is in force. */
+    private fun recordProof(sentAt: ProofTime, ageMs: Long = 0) {
+        if (current != null && !isNewestMalformed) proof.record(sentAt, ageMs)
     }
 
     private fun applyRow(row: StoredRow) {
@@ -101,10 +120,23 @@
     }
 
     private fun applyContent(bytes: ByteArray, decoded: Either<String, ClusterConfig>, source: String) {
-        val config = decoded.fold({ return log.event("malformed", "cause" to it, "source" to source) }, { it })
+        val config = decoded.fold(
+            ifLeft = {
+                isNewestMalformed = true
+                return log.event("malformed", "cause" to it, "source" to source)
+            },
+            ifRight = { it },
+        )
         if (config.version <= (current?.version ?: -1)) return
+        isNewestMalformed = false
         content = bytes
         current = config
-        log.event("in_force", "version" to config.version, "queues" to config.queues.size, "source" to source)
+        log.event(
+            "in_force",
+            "version" to config.version,
+            "queues" to config.queues.size,
+            "accounts" to config.accounts?.all?.size,
+            "source" to source,
+        )
     }
 }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
@@ -40,9 +40,13 @@
 @Serializable
 internal data class ConfigRequest(val knownVersion: Long)
 
-/** The configuration as the operators wrote it; null if the called process has no newer one. */
+/**
+ * [content] is the configuration as the operators wrote it, or null if the called process has no newer one.
+ *
+ * [provenAgeMs] is the age of the called process's proof that its configuration is the newest one, or null without one.
+ */
 @Serializable
-internal class ConfigReply(val content: ByteArray?)
+internal class ConfigReply(val content: ByteArray?, val provenAgeMs: Long? = null)
 
 @Serializable
 internal data class WatchRequest(val holdMs: Long)
--- a/server/src/test/kotlin/dev/bronzeshore/server/ModuleGraphTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/ModuleGraphTest.kt
@@ -78,8 +78,8 @@
 
     internal companion object {
         private val FEATURE_MODULES = sortedSetOf(
-            "audit", "intake", "jobs", "leadership", "membership", "ownership", "peering", "placement", "plans",
-            "platform", "requests", "scheduler",
+            "accounts", "audit", "intake", "jobs", "leadership", "membership", "ownership", "peering", "placement",
+            "plans", "platform", "requests", "scheduler",
         )
         private val OTHER_MODULES = setOf("benchmarks", "core", "ctl", "server", "spec", "stand-ins")
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ClusterSettingsFileTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ClusterSettingsFileTest.kt
@@ -14,6 +14,8 @@
     private fun rendered(address: String): String = Regex("\\{\\{([^}|]+)(\\|json)?}}").replace(template) { match ->
         val isText = match.groupValues[2].isNotEmpty()
         when {
+            // Begin or end of a section, which is rendered if its value is true.
+            match.groupValues[1].first() in "#/" -> ""
             "addr" in match.groupValues[1] && isText -> "\"$address\""
             "address" in match.groupValues[1] || match.groupValues[1] == "hint" -> "\"$address\""
             isText -> "\"name\""
@@ -28,6 +30,7 @@
         val settings = readClusterSettings(rendered("10.0.0.1:80"))
         assertEquals(5, settings.getOrNull()?.peers?.port)
         assertEquals(5_000L, settings.getOrNull()?.bounds?.stopSignalGraceMs)
+        assertEquals(5L, settings.getOrNull()?.bounds?.keyWithdrawalMs)
     }
 
     /** Guards against validation that stops at the first error. */
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ConfigWatcherTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ConfigWatcherTest.kt
@@ -1,29 +1,39 @@
 /** A new configuration is in force within its time limit even if the store's change feed does not deliver it. */
 package dev.bronzeshore.server.cluster
 
+import dev.bronzeshore.accounts.ConfigProof
 import dev.bronzeshore.core.cluster.NodeRow
 import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.platform.cluster.PlatformClient
 import dev.bronzeshore.standins.cluster.StoreStandIn
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import kotlin.random.Random
 
 /** Time limit for a new configuration to be in force, as the platform sets it in production. */
 private const val APPLY_LIMIT_MS = 2_000L
 
+private const val WITHDRAWAL_BOUND_MS = 5_000L
+
 class ConfigWatcherTest {
     private class Setup(private val scope: TestScope) {
         val store = StoreStandIn(Random(1), scope.backgroundScope)
+        val proofs = List(3) { ConfigProof({ scope.currentTime }, { scope.currentTime }, WITHDRAWAL_BOUND_MS) }
         val watchers = List(3) { watcher(it) }
 
         private fun watcher(number: Int): ConfigWatcher {
             val peers = { List(3) { NodeRow("n$it", "boot", "n$it:1") }.filter { it.processName != "n$number" } }
-            return ConfigWatcher(store.clientFor("n$number"), { scope.currentTime }, peers) { peer, version ->
-                watchers[peer.processName.drop(1).toInt()].contentNewerThan(version)
+            return ConfigWatcher(store.clientFor("n$number"), {
+                scope.currentTime
+            }, proofs[number], peers) { peer, version ->
+                watchers[peer.processName.drop(1).toInt()].replyFor(version)
             }
         }
 
@@ -60,6 +70,34 @@
         setup.awaitVersion(1, withinMs = APPLY_LIMIT_MS)
     }
 
+    /**
+     * Guards against a process that cannot reach the store and goes on serving keys: alone, it stops before the bound
+     * for withdrawn keys; with a peer that reaches the store it goes on.
+     */
+    @ParameterizedTest(name = "refused by the store: {0}, still proven: {1}")
+    @CsvSource("n0, n0;n1;n2", "n0;n1, n0;n1;n2", "n0;n1;n2, ''")
+    fun `a configuration stays proven while any process reaches the store`(refused: String, proven: String) = runTest {
+        val setup = Setup(this)
+        setup.write(1)
+        setup.run()
+        setup.awaitVersion(1, withinMs = DEFAULT_AWAIT_MS)
+        setup.store.faults.refusedCallers += refused.split(";")
+        delay(WITHDRAWAL_BOUND_MS)
+        assertEquals(proven, setup.proofs.indices.filter { setup.proofs[it].isRecent }.joinToString(";") { "n$it" })
+    }
+
+    /** Guards against a proof by a configuration that cannot be decoded: it may withdraw keys. */
+    @Test
+    fun `a malformed configuration proves nothing`() = runTest {
+        val setup = Setup(this)
+        setup.write(1)
+        setup.run()
+        setup.awaitVersion(1, withinMs = DEFAULT_AWAIT_MS)
+        setup.store.put(RowId(PlatformClient.OPERATOR_TABLE, "", "config"), "{".toByteArray())
+        delay(WITHDRAWAL_BOUND_MS)
+        assertEquals(listOf(false, false, false), setup.proofs.map { it.isRecent })
+    }
+
     private suspend fun Setup.awaitVersion(version: Long, withinMs: Long) =
         awaitUntil(withinMs) { versions == List(watchers.size) { version } }
 }
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -11,6 +11,7 @@
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.AdviceTerms
 import dev.bronzeshore.core.cluster.AdviceTicket
+import dev.bronzeshore.core.cluster.ClientAccounts
 import dev.bronzeshore.core.cluster.ClusterBounds
 import dev.bronzeshore.core.cluster.JobDescription
 import dev.bronzeshore.core.cluster.JobPhase
@@ -31,6 +32,7 @@
 import dev.bronzeshore.scheduler.LeaderTermRunner
 import dev.bronzeshore.scheduler.SchedulerMetrics
 import dev.bronzeshore.scheduler.TermRenewal
+import dev.bronzeshore.scheduler.WorkerDirectory
 import dev.bronzeshore.standins.cluster.MAX_LEASE_MS
 import dev.bronzeshore.standins.cluster.StoreStandIn
 import dev.bronzeshore.standins.cluster.TaskModel
@@ -66,13 +68,16 @@
     private val accepted = LinkedHashMap<String, AcceptedJob>()
     val workers = WorkersStandIn(random, scope.backgroundScope, ::nowMs, SERVICE, WORKER_CAPACITY) { name ->
         val step = accepted.getValue(name.jobId).description.steps[name.step]
-        TaskModel(step.size, step.estimateMs)
+        TaskModel(step.size, step.estimateMs, accepted.getValue(name.jobId).account)
     }
     private val entries = HashMap<String, WorkerEntry>()
 
     /** Advice terms of the queues of subsequently submitted jobs. */
     var adviceTerms: AdviceTerms? = null
 
+    /** Client accounts of the configuration in force; null if there are none. */
+    var accounts: ClientAccounts? = null
+
     private val adviceClients =
         List(ADVICE_CALLERS) { AdviceClient("n$it") { step, workers, _ -> advise(step, workers) } }
     private var term = 0L
@@ -122,9 +127,9 @@
             metrics = SchedulerMetrics(),
             renewal = TermRenewal({ null }, {}),
             adviceClients = { adviceClients },
-            workerTable = WORKER_TABLE,
-            decodeWorker = ::decode,
+            workers = WorkerDirectory(WORKER_TABLE, ::decode),
             onLeadershipLost = { jobs[version]?.cancel() },
+            accounts = { accounts },
         )
         val started = LeaderTermRunner(dependencies, term, version)
         runner = started
@@ -140,9 +145,15 @@
         leader?.cancel()
     }
 
-    fun submit(id: String, vararg steps: StepDescription, priority: Int = 1, attempts: Int = 3) {
+    fun submit(
+        id: String,
+        vararg steps: StepDescription,
+        priority: Int = 1,
+        attempts: Int = 3,
+        account: String? = null,
+    ) {
         val terms = QueueTerms("queue-$priority", SERVICE, priority, attempts, 2.0, 1_000, adviceTerms)
-        val job = AcceptedJob(id, JobDescription("payload", steps.toList()), terms, nowMs())
+        val job = AcceptedJob(id, JobDescription("payload", steps.toList()), terms, nowMs(), account)
         accepted[id] = job
         durations[id] = steps.maxOf { it.estimateMs }
         store.put(Tables.acceptedRow(id), encodeRow(AcceptedJob.serializer(), job))
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
@@ -8,11 +8,20 @@
 import dev.bronzeshore.core.cluster.TaskRun
 
 /** Resources and run time of a task in a simulation. */
-public data class TaskModel(public val demand: Resources, public val durationMs: Long)
+public data class TaskModel(
+    public val demand: Resources,
+    public val durationMs: Long,
+    /** Client account of the task's job, or null. */
+    public val account: String? = null,
+)
 
 public class RunInvariantChecker {
     private val runningOn = HashMap<TaskName, MutableSet<Pair<TaskRun, String>>>()
     private val done = HashSet<TaskName>()
+    private val modelOf = HashMap<TaskRun, TaskModel>()
+
+    /** Most that may run for each account; it may grow and shrink. */
+    public val accountLimits: MutableMap<String, Resources> = HashMap()
     private val acknowledgedDone = HashSet<TaskName>()
 
     private val crashesBy = HashMap<TaskName, Int>()
@@ -32,12 +41,14 @@
     /** Number of runs on all workers now. */
     public val runningCount: Int get() = runningOn.values.sumOf { it.size }
 
-    internal fun recordStart(run: TaskRun, workerId: String) {
+    internal fun recordStart(run: TaskRun, workerId: String, task: TaskModel) {
         starts++
+        modelOf[run] = task
         val others = runningOn.getOrPut(run.task) { HashSet() }
         if (others.isNotEmpty()) violations += "duplicate run: $run on $workerId while $others are running"
         if (run.task in acknowledgedDone) violations += "duplicate run: $run on $workerId after an acknowledged end"
         others += run to workerId
+        checkAccount(task.account)
         if ((crashesBy[run.task] ?: 0) < MAX_CRASHES_BY_A_TASK) return
         val starts = startsAfterThirdCrash.merge(run.task, 1, Int::plus) ?: 0
         if (starts >= MAX_CRASHES_BY_A_TASK) violations += "crash budget: $run is start $starts after the third crash"
@@ -60,6 +71,14 @@
         if (end.kind == EndKind.DONE) acknowledgedDone += end.run.task
     }
 
+    private fun checkAccount(account: String?) {
+        val limit = accountLimits[account] ?: return
+        val used = runningOn.values.flatten().map { (run, _) -> modelOf.getValue(run) }
+            .filter { it.account == account }
+            .fold(Resources.NONE) { sum, model -> sum + model.demand }
+        if (!used.fitsIn(limit)) violations += "account limit: the runs of $account use $used of $limit"
+    }
+
     internal fun checkCapacity(workerId: String, demands: List<Resources>, capacity: Resources) {
         val used = demands.fold(Resources.NONE) { sum, demand -> sum + demand }
         if (!used.fitsIn(capacity)) violations += "over-commit: the runs on $workerId use $used of $capacity"
