Go on while the leader's partition of the store does not respond

When the partition came back, another process took over at once from a leader that had never failed.

Cause: a job starts only after its leader's term is confirmed, and a job is shown as ended only once its row is stored. Both used a single partition.

Change: the leader writes its term as a fence into each intake partition before it reads the jobs there. While its own partition is silent for a second, it confirms its term and stores ends in the jobs' partitions, under these fences. A new leader takes jobs that were stored before the former fence's last renewal for possibly running. Candidates start the timeout of the leader anew when the leader's rows cannot be read, and a leader whose other partitions respond asks nobody to take over.

Ruled out: a quorum of several leader partitions (three writes for one, all the time); a job's own claim row (a write for each job, and both leaders could claim).

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -46,6 +46,10 @@
     /** Sorts after every key that begins with a job id and ends with a printable character. */
     private const val LAST_CHARACTER = "~"
     private const val CANCEL_SUFFIX = ".cancel"
+    private const val END_SUFFIX = ".end"
+
+    /** Sorts after all job ids. */
+    private const val FENCE_KEY = "~fence"
 
     public fun intakePartitionOf(jobId: String): String =
         INTAKE_PARTITIONS[Math.floorMod(jobId.hashCode(), INTAKE_PARTITIONS.size)]
@@ -57,6 +61,17 @@
     /** The job id of a cancellation row, or null for other rows. */
     public fun cancelledJobOf(key: String): String? = key.removeSuffix(CANCEL_SUFFIX).takeIf { it != key }
 
+    /** The end of a job, stored beside its accepted row while the leader's partition does not respond. */
+    public fun endRow(jobId: String): RowId = RowId(INTAKE, intakePartitionOf(jobId), jobId + END_SUFFIX)
+
+    /** The job id of an end row, or null for other rows. */
+    public fun endedJobOf(key: String): String? = key.removeSuffix(END_SUFFIX).takeIf { it != key }
+
+    /** The term of the leader that may write about the jobs of an intake partition. */
+    public fun fenceRow(partition: String): RowId = RowId(INTAKE, partition, FENCE_KEY)
+
+    public fun isFence(id: RowId): Boolean = id.key == FENCE_KEY
+
     public fun progressRow(jobId: String): RowId = RowId(PROGRESS, LEADER_PARTITION, jobId)
 
     /** The range of exactly the rows of [jobId] in a table whose keys start with job ids. */
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
@@ -19,6 +19,7 @@
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.WaitingCounts
 import dev.bronzeshore.core.cluster.decodeRow
+import dev.bronzeshore.core.cluster.isEnded
 import kotlinx.coroutines.CoroutineScope
 
 /** Callers accept counts that are up to two seconds old; the leader writes them up to half a second late. */
@@ -53,10 +54,15 @@
 
     suspend fun stateOf(jobId: String): StateAnswer {
         val progress = progressOf(jobId)
-        if (progress != StateAnswer.NoSuchJob) return progress
+        if (progress is StateAnswer.Found && progress.phase.isEnded) return progress
         val intakeRows = readJobRows(Tables.INTAKE, Tables.intakePartitionOf(jobId), jobId)
             ?: return StateAnswer.Unavailable
+        val end = intakeRows.firstOrNull { Tables.endedJobOf(it.id.key) != null }?.value
         return when {
+            end != null -> decodeState(jobId, end)
+
+            progress != StateAnswer.NoSuchJob -> progress
+
             // The job may have ended since its progress was read, and its accepted row may have been deleted.
             intakeRows.none { it.id.key == jobId } -> progressOf(jobId)
 
@@ -69,14 +75,17 @@
     private suspend fun progressOf(jobId: String): StateAnswer {
         val rows = readJobRows(Tables.PROGRESS, Tables.LEADER_PARTITION, jobId) ?: return StateAnswer.Unavailable
         val value = rows.firstOrNull { it.id.key == jobId }?.value ?: return StateAnswer.NoSuchJob
-        return decodeRow(JobProgress.serializer(), value).fold(
+        return decodeState(jobId, value)
+    }
+
+    private fun decodeState(jobId: String, value: ByteArray): StateAnswer =
+        decodeRow(JobProgress.serializer(), value).fold(
             ifLeft = { cause ->
                 log.event("progress_malformed", "job" to jobId, "cause" to cause)
                 StateAnswer.Unavailable
             },
             ifRight = { StateAnswer.Found(it.phase) },
         )
-    }
 
     private suspend fun readJobRows(table: String, partition: String, jobId: String): List<StoredRow>? =
         store.readPage(Tables.rowsOfJob(table, partition, jobId)).fold(
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderElection.kt
@@ -154,7 +154,9 @@
     private fun takeoverDelayMs() = candidateDelayMs() + Random.nextLong(TAKEOVER_JITTER_MS)
 
     private suspend fun takeOver(isStillNeeded: () -> Boolean) {
-        if (!isCandidate || !readLeaderRows()) return
+        if (!isCandidate) return
+        // The leader cannot renew its term either while its partition of the store does not respond.
+        if (!readLeaderRows()) return tracker.onStoreFailure()
         if (!isCandidate || !isStillNeeded()) return
         val term = TermRow((tracker.term?.term ?: 0) + 1, own.processName, own.bootId, own.peerAddress)
         val outcome = store.transact(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -95,6 +95,7 @@
         launch { followIntake(lifecycle, versions.intake) }
         launch { followWorkers(registry, versions.workers) }
         launch { journal.run() }
+        launch { PartitionWriter(context, journal).run() }
         launch { collectGarbage(context) }
         launch { maintain(context, registry, StallDetector(context, stopper, quarantine)) }
         while (true) {
@@ -112,6 +113,9 @@
     /** Accepts a job that a process has stored and announces before the change feed delivers it. */
     public fun acceptAnnounced(job: AcceptedJob): Unit? = jobLifecycle?.accept(job, version = 0)
 
+    /** Monotonic time of the last write to an intake partition that confirmed the term; null if there was none. */
+    public val confirmedInPartitionAtMs: Long? get() = currentContext?.confirmation?.confirmedInPartitionAtMs
+
     /** The phase of a job that callers may see, or null if this leader does not know the job. */
     public fun phaseOf(jobId: String): JobPhase? {
         val job = currentContext?.jobRegistry?.find(jobId) ?: return null
@@ -186,6 +190,8 @@
 /** Applies a row of the intake table: an accepted job or a cancellation. */
 internal fun applyIntakeRow(row: StoredRow, lifecycle: JobLifecycle) {
     val value = row.value ?: return
+    // Only this leader writes such rows, and knows what they say.
+    if (Tables.isFence(row.id) || Tables.endedJobOf(row.id.key) != null) return
     val cancelled = Tables.cancelledJobOf(row.id.key)
     if (cancelled != null) return lifecycle.cancel(cancelled)
     decodeRow(AcceptedJob.serializer(), value).fold(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -42,6 +42,10 @@
     private var savedRoster: Set<RosterWorker> = emptySet()
     private var journalRowVersion = 0L
 
+    /** Monotonic time since which a write is attempted without success; null if none is. */
+    var unconfirmedSinceMs: Long? = null
+        private set
+
     fun wake() {
         wake.trySend(Unit)
     }
@@ -85,6 +89,7 @@
                 ) + listOfNotNull(heartbeat, dueSpeeds(), RowWrite(Tables.JOURNAL_ROW, ByteArray(0)))
         val phases = batch.jobs.associateWith { it.phase }
         val startedAtMs = context.clock()
+        if (unconfirmedSinceMs == null) unconfirmedSinceMs = startedAtMs
         val conditions = listOf(
             RowCondition(Tables.TERM_ROW, context.termRowVersion),
             RowCondition(Tables.JOURNAL_ROW, journalRowVersion),
@@ -93,6 +98,7 @@
         context.metrics.journalWrite(outcome::class.simpleName.orEmpty(), context.clock() - startedAtMs)
         if (outcome is StoreOutcome.Applied) {
             journalRowVersion = outcome.version
+            unconfirmedSinceMs = null
             val wasWanted = context.confirmation.isWanted
             context.confirmation.record(outcome.version, startedAtMs)
             if (wasWanted) context.wakePlanner()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -39,16 +39,18 @@
     /** Reads what former leaders stored and starts the worker sessions. */
     suspend fun load(): LoadedVersions {
         val startedAtMs = context.clock()
-        val tables = listOf(dependencies.workers.table, Tables.LEADER_STATE, Tables.PROGRESS, Tables.INTAKE)
-        val contents = coroutineScope {
-            tables.map { table -> async { table to retryUntilRead { reader.readTable(table) } } }.awaitAll().toMap()
+        val tables = listOf(dependencies.workers.table, Tables.LEADER_STATE, Tables.PROGRESS)
+        val (contents, intake) = coroutineScope {
+            val jobs = async { context.fences.readJobs(reader) }
+            val others = tables.map { table -> async { table to retryUntilRead { reader.readTable(table) } } }
+            others.awaitAll().toMap() to jobs.await()
         }
         val workers = contents.getValue(dependencies.workers.table)
         val notes = contents.getValue(Tables.LEADER_STATE)
         val progress = contents.getValue(Tables.PROGRESS)
-        val intake = contents.getValue(Tables.INTAKE)
         val roster = readRoster(notes)
         progress.rows.forEach { restoreProgress(it) }
+        intake.rows.forEach { restoreEnd(it) }
         // Ended jobs are not decoded: after some minutes they are most of the table.
         intake.rows.filterNot { context.jobRegistry.isEnded(it.id.key) }.forEach { applyIntakeRow(it, lifecycle) }
         workers.rows.map { dependencies.workers.decode(it) }.forEach { registry.addListed(it) }
@@ -92,6 +94,13 @@
         }
     }
 
+    /** Restores the end of a job that a former leader stored while its own partition did not respond. */
+    private fun restoreEnd(row: StoredRow) {
+        val jobId = Tables.endedJobOf(row.id.key) ?: return
+        val stored = row.decoded(JobProgress.serializer()) ?: return context.jobRegistry.setAside(jobId)
+        context.jobRegistry.recordEnded(jobId, stored.endedAtMs ?: context.wallClock())
+    }
+
     private fun <T> StoredRow.decoded(serializer: KSerializer<T>): T? = value?.let { bytes ->
         decodeRow(serializer, bytes).onLeft { context.reportMalformedRow(id, it) }.getOrNull()
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
@@ -19,7 +19,7 @@
 private const val COLLECTION_PERIOD_MS = 5_000L
 
 /** Jobs deleted by one transaction, which holds up to 100 entries and must not delay other writes. */
-private const val MAX_JOBS_IN_TRANSACTION = 40
+private const val MAX_JOBS_IN_TRANSACTION = 30
 
 internal class RowGarbageCollector(private val context: TermContext) {
     /** Ended jobs whose accepted rows this leader has deleted. */
@@ -45,7 +45,9 @@
     suspend fun deleteExpiredJobs() {
         val endedBeforeMs = context.wallClock() - context.bounds.statusRetentionMs - RETENTION_MARGIN_MS
         val expired = context.jobRegistry.endedBefore(endedBeforeMs).take(MAX_JOBS_IN_TRANSACTION)
-        val collected = expired.groupBy { Tables.intakePartitionOf(it) }.values.flatMap { deleteIntakeRows(it) }
+        val collected = expired.groupBy {
+            Tables.intakePartitionOf(it)
+        }.values.flatMap { deleteIntakeRows(it, withEnd = true) }
         if (collected.isEmpty() || !deleteProgress(collected)) return
         collected.forEach { context.jobRegistry.forget(it) }
         jobsWithoutAcceptedRow -= collected.toSet()
@@ -53,8 +55,10 @@
     }
 
     /** Returns the jobs whose rows are certainly deleted. */
-    private suspend fun deleteIntakeRows(jobIds: List<String>): List<String> {
-        val rows = jobIds.flatMap { listOf(Tables.acceptedRow(it), Tables.cancelRow(it)) }
+    private suspend fun deleteIntakeRows(jobIds: List<String>, withEnd: Boolean = false): List<String> {
+        val rows = jobIds.flatMap {
+            listOfNotNull(Tables.acceptedRow(it), Tables.cancelRow(it), Tables.endRow(it).takeIf { withEnd })
+        }
         val outcome = context.store.transact(StoreTransaction(deletes = rows))
         return if (outcome is StoreOutcome.Applied) jobIds else emptyList()
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
@@ -4,13 +4,25 @@
  * A leader that has been replaced without noticing goes on until a write of its own is refused. It must not start a
  * job that was stored after the takeover, because the next leader starts such jobs at once, without waiting for the
  * workers that a former leader may have used. Therefore a job starts only after a write of this leader, which requires
- * the term, has been confirmed with a later version than the job's row, or was sent after the job became known.
+ * the term, has been confirmed with a later version than the job's row, or was sent after the job became known. The
+ * write may be one to the leader's own partition, or one under its fence in the job's partition.
  */
 package dev.bronzeshore.scheduler
 
-internal class TermConfirmation(private val termRowVersion: Long, private val renewedAtMs: () -> Long) {
+import dev.bronzeshore.core.cluster.Tables
+
+internal class TermConfirmation(
+    private val termRowVersion: Long,
+    private val renewedAtMs: () -> Long,
+    /** Version of the last fence of a former leader in an intake partition. */
+    private val formerFenceVersion: (partition: String) -> Long,
+) {
     private var confirmedVersion = termRowVersion
-    private var confirmedAtMs = Long.MIN_VALUE
+    private var journalConfirmedAtMs = Long.MIN_VALUE
+    private val partitions = HashMap<String, ConfirmedWrite>()
+
+    /** Monotonic time at which the last confirmed write to the leader's partition was sent. */
+    private val confirmedAtMs: Long get() = maxOf(journalConfirmedAtMs, renewedAtMs())
 
     /** A job is known that may not start before the next confirmed write. */
     var isWanted: Boolean = false
@@ -19,18 +31,34 @@
     /** Records a confirmed write that required the term. */
     fun record(version: Long, sentAtMs: Long) {
         confirmedVersion = maxOf(confirmedVersion, version)
-        confirmedAtMs = maxOf(confirmedAtMs, sentAtMs)
+        journalConfirmedAtMs = maxOf(journalConfirmedAtMs, sentAtMs)
         isWanted = false
     }
 
+    /** Monotonic time at which the last confirmed write to an intake partition was sent; null if there was none. */
+    var confirmedInPartitionAtMs: Long? = null
+        private set
+
+    /** Records a confirmed write under this leader's fence in an intake partition. */
+    fun recordPartition(partition: String, version: Long, sentAtMs: Long) {
+        partitions[partition] = ConfirmedWrite(version, sentAtMs)
+        confirmedInPartitionAtMs = maxOf(confirmedInPartitionAtMs ?: sentAtMs, sentAtMs)
+    }
+
     /** True if the term was certainly still held after the job was stored. */
     fun covers(job: TrackedJob): Boolean {
         val isCovered = job.storedVersion in 1 until confirmedVersion ||
-            maxOf(confirmedAtMs, renewedAtMs()) > job.knownAtMs
+            confirmedAtMs > job.knownAtMs ||
+            partitions[Tables.intakePartitionOf(job.id)]?.isLaterThan(job) == true
         if (!isCovered) isWanted = true
         return isCovered
     }
 
     /** True if the job was stored after the takeover, so that no former leader has started it. */
-    fun isNewerThanTerm(job: TrackedJob): Boolean = job.storedVersion > termRowVersion
+    fun isNewerThanTerm(job: TrackedJob): Boolean =
+        job.storedVersion > maxOf(termRowVersion, formerFenceVersion(Tables.intakePartitionOf(job.id)))
+
+    private class ConfirmedWrite(private val version: Long, private val sentAtMs: Long) {
+        fun isLaterThan(job: TrackedJob): Boolean = job.storedVersion in 1 until version || sentAtMs > job.knownAtMs
+    }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -56,7 +56,8 @@
     val workerPool = WorkerPool()
     val jobRegistry = JobRegistry()
     val adviceShares = AdviceShares()
-    val confirmation = TermConfirmation(termRowVersion, renewal.renewedAtMs)
+    val fences = PartitionFences(this)
+    val confirmation = TermConfirmation(termRowVersion, renewal.renewedAtMs, fences::formerVersion)
     val changes = UnsavedChanges()
     val submissionRates = SubmissionRates()
 
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -195,7 +195,10 @@
         val now = MonotonicClock()
         val isStoreAvailable =
             now - health.lastSuccessAtMs < RECENT_SUCCESS_MS && now - election.renewedAtMs < RENEWAL_OVERDUE_MS
-        if (!isStoreAvailable) handOver(term)
+        // While only the leader's partition does not respond, no other process can take over; one that was asked to
+        // would do so as soon as the partition is back.
+        val isServedElsewhere = runner?.confirmedInPartitionAtMs?.let { now - it < RENEWAL_OVERDUE_MS } ?: false
+        if (!isStoreAvailable && !isServedElsewhere) handOver(term)
     }
 
     private fun newPeerClient() = TimedPeerClient(PeerClient(selector, wallClock, scope), wallClock)
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentPartitionTest.kt
@@ -0,0 +1,83 @@
+/** Partitions of the store that do not respond, among them the one with the leader's term and journal. */
+package dev.bronzeshore.server.cluster
+
+import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.Tables
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+
+private const val JOB = "00000000000000aa"
+private const val OBSERVATION_MS = 3_000L
+private val LEADER_PARTITION = setOf(Tables.LEADER_PARTITION)
+
+class SilentPartitionTest {
+    private fun id(number: Int) = number.toString(16).padStart(16, '0')
+
+    /**
+     * Guards against an outage of one partition that stops all new work: no job that was stored meanwhile started, and
+     * no end was shown, because both need a write to the leader's partition.
+     */
+    @Test
+    fun `jobs start and end while the leader's partition is silent`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 31)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.store.faults.silentPartitions["leader-1"] = LEADER_PARTITION
+        simulation.submit(JOB, step(replicas = 4, cores = 4, durationMs = 300))
+        awaitUntil(withinMs = 2_500) { simulation.runner?.phaseOf(JOB) == JobPhase.COMPLETED }
+    }
+
+    /** Guards against a job that runs again because its end was stored in its own partition only. */
+    @Test
+    fun `the next leader knows an end that was stored in the job's partition`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 32, workerCount = 2)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.store.faults.silentPartitions["leader-1"] = LEADER_PARTITION
+        simulation.submit(JOB, step(replicas = 2, cores = 4, durationMs = 300))
+        awaitUntil { simulation.runner?.phaseOf(JOB) == JobPhase.COMPLETED }
+        simulation.stopLeader()
+        // The workers cannot tell the next leader of the ends.
+        simulation.workers.ids.toList().forEach { simulation.workers.crash(it) }
+        simulation.workers.boot("w9")
+        simulation.lead()
+        delay(OBSERVATION_MS)
+        assertEquals(2, simulation.workers.checker.starts)
+    }
+
+    /**
+     * Guards against two leaders that both start a job: the former one cannot reach its own partition, does not learn
+     * that it has been replaced there, and can still write to the partitions of the jobs.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6])
+    fun `a replaced leader whose partition is silent starts nothing twice`(seed: Long) = runTest {
+        val simulation = SchedulerSimulation(this, seed)
+        simulation.lead()
+        simulation.awaitRoster()
+        backgroundScope.launch {
+            for (number in 0..80) {
+                simulation.submit(id(number), step(2, 1, 2_000))
+                delay(50 + simulation.random.nextLong(20))
+            }
+        }
+        delay(500)
+        simulation.store.faults.silentPartitions["leader-1"] = LEADER_PARTITION
+        delay(1_500)
+        // The former leader goes on while the new one, whose calls take long, puts its fences in place. The new one does
+        // not reach most of the workers at first, so that they still obey the former one.
+        simulation.store.faults.latencyMsOf["leader-2"] = 300
+        simulation.lead(pollDelayMs = { worker -> if (worker == "w5") 0 else 1_500 })
+        delay(2_000)
+        simulation.store.faults.latencyMsOf.clear()
+        simulation.store.faults.silentPartitions.clear()
+        for (number in 0..80) assertTrue(simulation.awaitPhase(id(number), JobPhase.COMPLETED, withinMs = 30_000))
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
+}
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
@@ -8,6 +8,9 @@
     /** Callers whose calls are refused while the store serves others. */
     public val refusedCallers: MutableSet<String> = HashSet()
 
+    /** Partitions whose reads and writes get no response and are not applied, by caller. */
+    public val silentPartitions: MutableMap<String, Set<String>> = HashMap()
+
     /** Callers whose change feeds get no response until their timeout, as on a half-open connection. */
     public val unresponsiveFeeds: MutableSet<String> = HashSet()
 
@@ -17,6 +20,9 @@
     /** Latency of each call. */
     public var latencyMs: Long = 4
 
+    /** Latency of reads and writes of single callers, if it differs. */
+    public val latencyMsOf: MutableMap<String, Long> = HashMap()
+
     /** Fraction of the transactions whose response is lost; they are applied after [lostWriteDelayMs]. */
     public var lostResponseShare: Double = 0.0
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
@@ -53,10 +53,19 @@
 
     private fun isRefused(caller: String) = faults.isDown || caller in faults.refusedCallers
 
+    private fun latencyMsOf(caller: String) = faults.latencyMsOf[caller] ?: faults.latencyMs
+
+    private fun isSilent(caller: String, partition: String) = partition in faults.silentPartitions[caller].orEmpty()
+
     private suspend fun transact(caller: String, transaction: StoreTransaction): StoreOutcome {
         calls.merge("transact", 1, Int::plus)
-        delay(faults.latencyMs / 2)
+        delay(latencyMsOf(caller) / 2)
         if (isRefused(caller)) return StoreOutcome.NotApplied("refused")
+        val partitions = (transaction.writes.map { it.id } + transaction.deletes + transaction.conditions.map { it.id })
+        if (partitions.any { isSilent(caller, it.partition) }) {
+            delay(CALL_TIMEOUT_MS)
+            return StoreOutcome.Unknown("no response")
+        }
         if (random.nextDouble() < faults.lostResponseShare) {
             calls.merge("lost", 1, Int::plus)
             scope.launch {
@@ -67,7 +76,7 @@
             return StoreOutcome.Unknown("lost")
         }
         val outcome = apply(transaction)
-        delay(faults.latencyMs / 2)
+        delay(latencyMsOf(caller) / 2)
         return outcome
     }
 
@@ -94,8 +103,12 @@
 
     private suspend fun readPage(caller: String, query: RowRangeQuery): Either<ReadFailure, RowPage> {
         calls.merge("read", 1, Int::plus)
-        delay(faults.latencyMs)
+        delay(latencyMsOf(caller))
         if (isRefused(caller)) return ReadFailure.Unavailable("refused").left()
+        if (isSilent(caller, query.partition)) {
+            delay(CALL_TIMEOUT_MS)
+            return ReadFailure.Unavailable("no response").left()
+        }
         val found = rows.values.filter { it.id.table == query.table && it.id.partition == query.partition }
             .filter { query.fromKey == null || it.id.key >= query.fromKey.orEmpty() }
             .filter { query.toKey == null || it.id.key < query.toKey.orEmpty() }
