Leave advice calls to steps whose calls are short, and ask for gangs at a limit

The new load line shows the workers only 46 to 54% used at 16 s and 27 s while 52 steps could still end in time and 36 gangs waited.

Cause: at 27 s, gangs made 20 advice calls of a second each and all other batch work 4: the calls of waiting gangs occupied the three quarters of the processes that long calls may use. And a gang that waited for its account's limit got no advice meanwhile, but kept the account's places from others.

Change: calls over 400 ms use 40% of the processes while shorter ones wait (AdviceSlots). A gang at a limit asks for advice at once, and keeps places only when it knows enough workers. The leader logs its load once a second.

Evidence: AdviceTest has a table of the cases.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
@@ -24,10 +24,6 @@
 /** Workers in each of several parallel calls; with fewer, most of the total time is spent on fixed costs. */
 private const val WORKERS_IN_PARALLEL_CALL = 30
 
-/** Calls that take longer than this use at most [LONG_CALL_SHARE] of the clients. */
-private const val LONG_CALL_MS = 60L
-private const val LONG_CALL_SHARE = 0.75
-
 /** Part of a ticket's validity that passes in transit from the service and to the worker. */
 private const val TICKET_TRANSIT_MS = 60L
 private const val RETRY_PAUSE_MS = 100L
@@ -39,8 +35,8 @@
 private const val CLIENT_PAUSE_MS = 2_000L
 
 internal class AdviceDispatcher(private val context: TermContext, private val clients: () -> List<AdviceClient>) {
-    private val busyClients = HashSet<String>()
-    private val clientsInLongCall = HashSet<String>()
+    /** Length of the call that each busy client makes. */
+    private val callOf = HashMap<String, CallLength>()
     private val pausedUntilMs = HashMap<String, Long>()
 
     /** Sends calls for the needs in their order, as long as there are idle clients. */
@@ -48,23 +44,26 @@
         if (needs.isEmpty()) return
         val now = context.clock()
         val usableClients = clients().filter { (pausedUntilMs[it.name] ?: Long.MIN_VALUE) <= now }
-        val maxLong = (usableClients.size * LONG_CALL_SHARE).toInt().coerceAtLeast(1)
-        val idleClients = ArrayDeque(usableClients.filter { it.name !in busyClients })
+        val idleClients = ArrayDeque(usableClients.filter { it.name !in callOf })
+        val busy = usableClients.mapNotNull { callOf[it.name] }
+        val slots = AdviceSlots(usableClients.size, busy, needs.map { lengthOf(it) })
         for (need in needs) {
             if (idleClients.isEmpty()) return
-            val isLong = durationMs(need.step, minOf(need.workers.size, WORKERS_IN_PARALLEL_CALL)) > LONG_CALL_MS
-            val available = if (isLong) minOf(idleClients.size, maxLong - clientsInLongCall.size) else idleClients.size
-            splitIntoCalls(need.workers, available).forEach {
-                send(idleClients.removeFirst(), need.step, it, isLong)
+            val length = lengthOf(need)
+            splitIntoCalls(need.workers, minOf(slots.freeFor(length), idleClients.size)).forEach {
+                slots.begin(length)
+                send(idleClients.removeFirst(), need.step, it, length)
             }
         }
     }
 
+    private fun lengthOf(need: AdviceNeed) =
+        CallLength.of(durationMs(need.step, minOf(need.workers.size, WORKERS_IN_PARALLEL_CALL)))
+
     private fun durationMs(step: TrackedStep, workers: Int): Long = step.job.terms.advice?.durationMs(workers) ?: 0
 
-    private fun send(client: AdviceClient, step: TrackedStep, workers: List<WorkerIncarnation>, isLong: Boolean) {
-        busyClients += client.name
-        if (isLong) clientsInLongCall += client.name
+    private fun send(client: AdviceClient, step: TrackedStep, workers: List<WorkerIncarnation>, length: CallLength) {
+        callOf[client.name] = length
         step.advice.beginCall(workers)
         val timeoutMs = durationMs(step, workers.size) + CALL_MARGIN_MS
         context.launchGuarded("advice") {
@@ -72,8 +71,7 @@
                 val answer = client.ask(step.name, workers.map { it.workerId }, timeoutMs)
                 handleAnswer(client, step, workers, answer)
             } finally {
-                busyClients -= client.name
-                clientsInLongCall -= client.name
+                callOf -= client.name
                 step.advice.endCall(workers)
                 context.wakePlanner()
             }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -172,11 +172,13 @@
     }
 
     private suspend fun maintain(context: TermContext, registry: WorkerRegistry, stallDetector: StallDetector) {
+        val loadReport = LoadReport(context)
         while (true) {
             delay(MAINTENANCE_PERIOD_MS)
             context.guarded("maintenance") {
                 registry.expireLeases()
                 stallDetector.restartStalledRuns()
+                loadReport.reportIfDue()
             }
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -38,10 +38,12 @@
     fun place(step: TrackedStep) {
         val startable = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
         if (startable.isEmpty() || step.description.isGang && startable.size < step.tasks.size) return
-        val tasks = withinLimit(step, startable)
-        if (tasks.isEmpty()) return
         val workers = workersFor(step)
         val good = if (step.needsAdvice) workers.filter { step.advice.mayRunOn(it.worker.incarnation) } else workers
+        val tasks = withinLimit(step, startable, good)
+        // A gang that waits for its account's limit gets its advice meanwhile.
+        if (tasks.isEmpty() && step.needsAdvice) explore(step, startable.size, startable.size, workers, good)
+        if (tasks.isEmpty()) return
         val assignments = assign(step, tasks, good)
         reserveForTrials(step, tasks, good, assignments)
         val missing = tasks.size - assignments.size
@@ -56,15 +58,16 @@
     /**
      * The tasks that may start within the limit of the step's account; none of a gang if not all may.
      *
-     * A gang that has to wait for its account's limit keeps the rest of it from steps behind it. Otherwise their small
-     * tasks take what becomes free, and the gang never starts while the account is busy.
+     * A gang that has to wait for its account's limit only keeps the rest of it from steps behind it. Otherwise their
+     * small tasks take what becomes free, and the gang never starts while the account is busy. A gang that does not
+     * know enough workers yet keeps nothing, because the rest would lie idle until it does.
      */
-    private fun withinLimit(step: TrackedStep, tasks: List<TrackedTask>): List<TrackedTask> {
+    private fun withinLimit(step: TrackedStep, tasks: List<TrackedTask>, good: List<RoundWorker>): List<TrackedTask> {
         val places = budget.placesFor(step)
         if (places >= tasks.size) return tasks
         step.logLimit(context, isTooLow = step.description.isGang && budget.isBeyondLimit(step, tasks.size))
         if (!step.description.isGang) return tasks.take(places)
-        if (!budget.isBeyondLimit(step, tasks.size)) {
+        if (!budget.isBeyondLimit(step, tasks.size) && knowsRoomFor(step, tasks.size, good)) {
             step.reserve(now + GANG_RESERVATION_MS)
             budget.hold(step)
         }
@@ -212,12 +215,12 @@
 
     /** Reserves free capacity for a gang that does not fit now but would fit on the good workers when idle. */
     private fun reserveForGang(step: TrackedStep, count: Int, good: List<RoundWorker>) {
-        val fittingTasks = good.sumOf { it.fittingWhenIdle(step, count).toLong() }
         val service = step.job.terms.service
         val reserved = reservedWorkers[service] ?: 0
         val isShareUsed = reserved >= MAX_RESERVED_SHARE * workersOf(service).size
-        if (fittingTasks < count || gangReservations >= MIN_GANG_RESERVATIONS && isShareUsed) return
+        if (!knowsRoomFor(step, count, good) || gangReservations >= MIN_GANG_RESERVATIONS && isShareUsed) return
         gangReservations++
+        budget.take(step, count)
         step.reserve(now + GANG_RESERVATION_MS)
         var unplaced = count
         for (target in good.sortedBy { it.reservationCost(step) }) {
@@ -228,6 +231,10 @@
         }
     }
 
+    /** True if [count] tasks of the step fit on the workers that may run it, once these are idle. */
+    private fun knowsRoomFor(step: TrackedStep, count: Int, good: List<RoundWorker>): Boolean =
+        good.sumOf { it.fittingWhenIdle(step, count).toLong() } >= count
+
     private fun RoundWorker.fittingWhenIdle(step: TrackedStep, limit: Int): Int =
         step.taskDemand.countIn(worker.entry.capacity).coerceAtMost(limit)
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -86,6 +86,8 @@
         reservedFor = gang
     }
 
+    val isReserved: Boolean get() = reservedFor != null
+
     /** The gang of the last reservation, which the next planning round renews or drops. */
     fun takeReservation(): TrackedStep? = reservedFor.also { reservedFor = null }
 
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AdviceTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AdviceTest.kt
@@ -58,4 +58,32 @@
             Case(AdviceShortage(8, 8, 2, 0.25), 0, 100, 0, 32),
         )
     }
+
+    /**
+     * Guards against calls of a second each for many wide jobs that occupy all processes, so that steps with shorter
+     * calls get no advice; and against processes that stay idle when only long calls wait.
+     */
+    @ParameterizedTest(name = "in flight {0}, waiting {1}: {3} free for {2}")
+    @CsvSource(
+        "'',                             VERY_LONG,        VERY_LONG, 15",
+        "'',                             LONG;VERY_LONG,   VERY_LONG, 8",
+        "VERY_LONG*8,                    LONG;VERY_LONG,   VERY_LONG, 0",
+        "VERY_LONG*8,                    LONG;VERY_LONG,   LONG,      7",
+        "VERY_LONG*15,                   LONG;VERY_LONG,   LONG,      0",
+        "VERY_LONG*15,                   SHORT;VERY_LONG,  SHORT,     5",
+        "VERY_LONG*8;LONG*7;SHORT*4,     SHORT;LONG,       SHORT,     1",
+    )
+    internal fun `long calls leave processes to shorter ones`(
+        inFlight: String,
+        waiting: String,
+        length: CallLength,
+        free: Int,
+    ) {
+        val calls = inFlight.split(";").filter { it.isNotEmpty() }.flatMap { entry ->
+            val (name, count) = entry.split("*")
+            List(count.toInt()) { CallLength.valueOf(name) }
+        }
+        val slots = AdviceSlots(clients = 20, calls, waiting.split(";").map { CallLength.valueOf(it) })
+        assertEquals(free, slots.freeFor(length))
+    }
 }
