Store jobs in an alternate partition while their own does not respond

Cause: a job's id determines its only partition.

The leader knows jobs by id, so that a job in both partitions is one job.

Evidence: SilentPartitionTest (accepted in the alternate partition, repeated through another process, starts once; queried and cancelled there). On the code before, the first would get an unknown outcome.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -54,15 +54,28 @@
     public fun intakePartitionOf(jobId: String): String =
         INTAKE_PARTITIONS[Math.floorMod(jobId.hashCode(), INTAKE_PARTITIONS.size)]
 
-    public fun acceptedRow(jobId: String): RowId = RowId(INTAKE, intakePartitionOf(jobId), jobId)
+    /** The partition that takes the rows of a job while its own does not respond. */
+    public fun alternatePartitionOf(jobId: String): String {
+        val number = Math.floorMod(jobId.hashCode() + INTAKE_PARTITION_COUNT / 2, INTAKE_PARTITION_COUNT)
+        return INTAKE_PARTITIONS[number]
+    }
 
-    public fun cancelRow(jobId: String): RowId = RowId(INTAKE, intakePartitionOf(jobId), jobId + CANCEL_SUFFIX)
+    /** The partitions in which rows of a job may be, its own one first. */
+    public fun intakePartitionsOf(jobId: String): List<String> =
+        listOf(intakePartitionOf(jobId), alternatePartitionOf(jobId))
+
+    public fun acceptedRow(jobId: String, partition: String = intakePartitionOf(jobId)): RowId =
+        RowId(INTAKE, partition, jobId)
+
+    public fun cancelRow(jobId: String, partition: String = intakePartitionOf(jobId)): RowId =
+        RowId(INTAKE, partition, jobId + CANCEL_SUFFIX)
 
     /** The job id of a cancellation row, or null for other rows. */
     public fun cancelledJobOf(key: String): String? = key.removeSuffix(CANCEL_SUFFIX).takeIf { it != key }
 
     /** The end of a job, stored beside its accepted row while the leader's partition does not respond. */
-    public fun endRow(jobId: String): RowId = RowId(INTAKE, intakePartitionOf(jobId), jobId + END_SUFFIX)
+    public fun endRow(jobId: String, partition: String = intakePartitionOf(jobId)): RowId =
+        RowId(INTAKE, partition, jobId + END_SUFFIX)
 
     /** The job id of an end row, or null for other rows. */
     public fun endedJobOf(key: String): String? = key.removeSuffix(END_SUFFIX).takeIf { it != key }
@@ -74,6 +87,9 @@
 
     public fun progressRow(jobId: String): RowId = RowId(PROGRESS, LEADER_PARTITION, jobId)
 
+    /** The job that a row of the intake table is about. */
+    public fun jobOfIntakeKey(key: String): String = key.substringBefore('.')
+
     /** The range of exactly the rows of [jobId] in a table whose keys start with job ids. */
     public fun rowsOfJob(table: String, partition: String, jobId: String): RowRangeQuery =
         RowRangeQuery(table, partition, jobId, jobId + LAST_CHARACTER)
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
@@ -21,6 +21,9 @@
 import dev.bronzeshore.core.cluster.decodeRow
 import dev.bronzeshore.core.cluster.isEnded
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 
 /** Callers accept counts that are up to two seconds old; the leader writes them up to half a second late. */
 private const val COUNTS_MAX_AGE_MS = 700L
@@ -43,8 +46,9 @@
     scope: CoroutineScope,
 ) {
     private val log = EventLog("intake")
+    private val silentPartitions = SilentPartitions(clock)
     private val writers = Tables.INTAKE_PARTITIONS.associateWith {
-        SubmissionWriter(store, clock, isStoreAvailable, scope)
+        SubmissionWriter(store, clock, isStoreAvailable, silentPartitions, scope)
     }
     private var waitingCounts: WaitingCounts? = null
     private var countsReadAtMs = 0L
@@ -55,20 +59,26 @@
     suspend fun stateOf(jobId: String): StateAnswer {
         val progress = progressOf(jobId)
         if (progress is StateAnswer.Found && progress.phase.isEnded) return progress
-        val intakeRows = readJobRows(Tables.INTAKE, Tables.intakePartitionOf(jobId), jobId)
-            ?: return StateAnswer.Unavailable
-        val end = intakeRows.firstOrNull { Tables.endedJobOf(it.id.key) != null }?.value
+        val partitions = coroutineScope {
+            Tables.intakePartitionsOf(jobId).map { async { readJobRows(Tables.INTAKE, it, jobId) } }.awaitAll()
+        }
+        val rows = partitions.filterNotNull().flatten()
+        val end = rows.firstOrNull { Tables.endedJobOf(it.id.key) != null }?.value
+        val isAccepted = rows.any { it.id.key == jobId }
         return when {
             end != null -> decodeState(jobId, end)
 
             progress != StateAnswer.NoSuchJob -> progress
 
-            // The job may have ended since its progress was read, and its accepted row may have been deleted.
-            intakeRows.none { it.id.key == jobId } -> progressOf(jobId)
+            isAccepted && rows.any { Tables.cancelledJobOf(it.id.key) != null } ->
+                StateAnswer.Found(JobPhase.CANCELLED)
 
-            intakeRows.any { Tables.cancelledJobOf(it.id.key) != null } -> StateAnswer.Found(JobPhase.CANCELLED)
+            isAccepted -> StateAnswer.Found(JobPhase.PENDING)
 
-            else -> StateAnswer.Found(JobPhase.PENDING)
+            null in partitions -> StateAnswer.Unavailable
+
+            // The job may have ended since its progress was read, and its accepted row may have been deleted.
+            else -> progressOf(jobId)
         }
     }
 
@@ -98,13 +108,21 @@
 
     /** Stores the cancellation of an unknown job too, because its submission may still be in flight to the store. */
     suspend fun cancel(jobId: String): Boolean {
-        val transaction = StoreTransaction(writes = listOf(RowWrite(Tables.cancelRow(jobId), ByteArray(0))))
-        var outcome = store.transact(transaction)
-        if (outcome is StoreOutcome.Unknown) outcome = store.transact(transaction)
+        val partitions = Tables.intakePartitionsOf(jobId)
+        val first = silentPartitions.choose(partitions)
+        var outcome = storeCancellation(jobId, first)
+        if (outcome !is StoreOutcome.Applied) outcome = storeCancellation(jobId, partitions.first { it != first })
         log.event("cancellation", "job" to jobId, "outcome" to outcome::class.simpleName)
         return outcome is StoreOutcome.Applied
     }
 
+    private suspend fun storeCancellation(jobId: String, partition: String): StoreOutcome {
+        val write = RowWrite(Tables.cancelRow(jobId, partition), ByteArray(0))
+        return store.transact(StoreTransaction(writes = listOf(write))).also {
+            if (it is StoreOutcome.Unknown) silentPartitions.recordSilence(partition)
+        }
+    }
+
     suspend fun waitingJobCount(queue: String): Int? {
         if (clock() - countsReadAtMs > COUNTS_MAX_AGE_MS) readCounts()
         return waitingCounts?.let { it.byQueue[queue] ?: 0 }
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -2,7 +2,8 @@
  * Stores accepted jobs, several in one transaction.
  *
  * A job is accepted once its row exists. The row of a job that was submitted before stays unchanged, so that repeated
- * submissions are idempotent. A transaction does not wait for a full batch: it takes all jobs that have arrived while
+ * submissions are idempotent. If the partition does not respond, the jobs are stored in their alternate one; a job that
+ * is stored in both is still one job. A transaction does not wait for a full batch: it takes all jobs that have arrived while
  * the previous one was in flight.
  */
 package dev.bronzeshore.intake
@@ -46,6 +47,7 @@
     private val clock: ClockMs,
     /** False while the store refuses all calls of this process, so that a retry only delays the answer. */
     private val isStoreAvailable: () -> Boolean,
+    private val silentPartitions: SilentPartitions,
     scope: CoroutineScope,
 ) {
     private val log = EventLog("intake")
@@ -80,9 +82,11 @@
     private suspend fun write(batch: List<PendingJob>) {
         var open = batch
         var isUncertain = false
+        val partitions = Tables.intakePartitionsOf(batch.first().job.jobId)
+        var partition = silentPartitions.choose(partitions)
         val retryUntilMs = clock() + MAX_RETRY_TIME_MS
         while (open.isNotEmpty()) {
-            when (val outcome = store.transact(transactionFor(open))) {
+            when (val outcome = store.transact(transactionFor(open, partition))) {
                 is StoreOutcome.Applied -> return open.answerAll(SubmitAnswer.Accepted)
 
                 is StoreOutcome.Conflict -> {
@@ -100,22 +104,27 @@
                         return open.answerAll(rejectedOrUnknown(outcome.reason, isUncertain))
                     }
                     delay(RETRY_DELAY_MS)
+                    partition = partitions.first { it != partition }
                 }
 
-                // A second attempt with the same conditions shows whether the first one took effect.
+                // The first attempt may still take effect, so the jobs are never rejected after it.
                 is StoreOutcome.Unknown -> {
+                    silentPartitions.recordSilence(partition)
                     if (isUncertain || !isStoreAvailable()) return open.answerAll(SubmitAnswer.Unknown(outcome.reason))
                     isUncertain = true
+                    partition = partitions.first { it != partition }
                 }
             }
         }
     }
 
-    private fun transactionFor(batch: List<PendingJob>): StoreTransaction {
+    private fun transactionFor(batch: List<PendingJob>, partition: String): StoreTransaction {
         val jobs = batch.map { it.job }.distinctBy { it.jobId }
         return StoreTransaction(
-            conditions = jobs.map { RowCondition(Tables.acceptedRow(it.jobId), version = 0) },
-            writes = jobs.map { RowWrite(Tables.acceptedRow(it.jobId), encodeRow(AcceptedJob.serializer(), it)) },
+            conditions = jobs.map { RowCondition(Tables.acceptedRow(it.jobId, partition), version = 0) },
+            writes = jobs.map {
+                RowWrite(Tables.acceptedRow(it.jobId, partition), encodeRow(AcceptedJob.serializer(), it))
+            },
         )
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -4,7 +4,9 @@
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.EndKind
 import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.StoredRow
+import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.TaskEnd
 
 /** Pause before a task starts again after a run that failed, was lost or was stopped; avoids a busy loop. */
@@ -44,6 +46,12 @@
         jobs.setAside(row.id.key)
     }
 
+    /** Notes where the rows of a job are. */
+    fun noteRow(id: RowId) {
+        val jobId = Tables.jobOfIntakeKey(id.key)
+        if (id.partition != Tables.intakePartitionOf(jobId)) jobs.markAlternate(jobId)
+    }
+
     fun cancel(jobId: String) {
         val job = jobs.cancel(jobId) ?: return
         close(job, JobPhase.CANCELLED, "cancelled by its caller")
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLookup.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLookup.kt
@@ -7,7 +7,6 @@
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.HoldAnswer
-import dev.bronzeshore.core.cluster.RowPage
 import dev.bronzeshore.core.cluster.Tables
 
 internal class JobLookup(private val context: TermContext, private val lifecycle: JobLifecycle) {
@@ -28,16 +27,15 @@
         jobId in absentJobs
 
     private suspend fun read(jobId: String) {
-        val query = Tables.rowsOfJob(Tables.INTAKE, Tables.intakePartitionOf(jobId), jobId)
-        context.store.readPage(query).fold(
-            ifLeft = { context.log.event("job_lookup", "job" to jobId, "outcome" to it) },
-            ifRight = { applyRows(jobId, it) },
-        )
-    }
-
-    private fun applyRows(jobId: String, page: RowPage) {
-        page.rows.forEach { applyIntakeRow(it, lifecycle) }
-        if (page.rows.none { it.id.key == jobId }) absentJobs += jobId
-        context.log.event("job_lookup", "job" to jobId, "outcome" to "read", "rows" to page.rows.size)
+        for (partition in Tables.intakePartitionsOf(jobId)) {
+            val page = context.store.readPage(Tables.rowsOfJob(Tables.INTAKE, partition, jobId)).fold(
+                ifLeft = { return context.log.event("job_lookup", "job" to jobId, "outcome" to it) },
+                ifRight = { it },
+            )
+            page.rows.forEach { applyIntakeRow(it, lifecycle) }
+            context.log.event("job_lookup", "job" to jobId, "outcome" to "read", "rows" to page.rows.size)
+            if (page.rows.any { it.id.key == jobId }) return
+        }
+        absentJobs += jobId
     }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
@@ -18,6 +18,16 @@
     /** Jobs whose stored rows cannot be decoded: nothing of them is started, and their runs are left alone. */
     private val setAside = HashSet<String>()
 
+    /** Jobs with rows in their alternate partitions. */
+    private val inAlternatePartition = HashSet<String>()
+
+    /** Notes that the alternate partition of the job holds rows of it. */
+    fun markAlternate(jobId: String) {
+        inAlternatePartition += jobId
+    }
+
+    fun isInAlternatePartition(jobId: String): Boolean = jobId in inAlternatePartition
+
     val openJobs: Collection<TrackedJob> get() = open.values
     val allJobs: Collection<TrackedJob> get() = jobs.values
 
@@ -46,7 +56,7 @@
 
     /** Adds an accepted job; returns null if it is known already. */
     fun add(accepted: AcceptedJob, acceptedAtMs: Long, knownAtMs: Long, storedVersion: Long): TrackedJob? {
-        jobs[accepted.jobId]?.let { if (it.storedVersion == 0L) it.storedVersion = storedVersion }
+        jobs[accepted.jobId]?.noteStored(storedVersion)
         if (accepted.jobId in jobs || accepted.jobId in ended || accepted.jobId in setAside) return null
         val job = TrackedJob(accepted, acceptedAtMs, knownAtMs, storedVersion)
         storedProgress.remove(job.id)?.let { job.restore(it) }
@@ -77,6 +87,7 @@
         jobs.remove(jobId)
         cancelled.remove(jobId)
         ended.remove(jobId)
+        inAlternatePartition.remove(jobId)
     }
 
     /** Jobs without a started task, by queue. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -192,8 +192,10 @@
 /** Applies a row of the intake table: an accepted job or a cancellation. */
 internal fun applyIntakeRow(row: StoredRow, lifecycle: JobLifecycle) {
     val value = row.value ?: return
-    // Only this leader writes such rows, and knows what they say.
-    if (Tables.isFence(row.id) || Tables.endedJobOf(row.id.key) != null) return
+    if (Tables.isFence(row.id)) return
+    lifecycle.noteRow(row.id)
+    // Only this leader writes ends, and knows what they say.
+    if (Tables.endedJobOf(row.id.key) != null) return
     val cancelled = Tables.cancelledJobOf(row.id.key)
     if (cancelled != null) return lifecycle.cancel(cancelled)
     decodeRow(AcceptedJob.serializer(), value).fold(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
@@ -20,11 +20,15 @@
 private const val SILENCE_MS = 1_000L
 private const val POLL_PERIOD_MS = 40L
 
+/** Time for which a partition that did not respond is avoided. */
+private const val AVOIDED_MS = 1_000L
+
 /** A transaction holds up to 100 entries. */
 private const val MAX_ENDS_IN_WRITE = 90
 
 internal class PartitionWriter(private val context: TermContext, private val journal: ProgressJournal) {
     private val partitionsInFlight = HashSet<String>()
+    private val avoidedUntilMs = HashMap<String, Long>()
     private var isActive = false
 
     suspend fun run() {
@@ -45,8 +49,8 @@
     private fun writeDue() {
         val ended = context.jobRegistry.allJobs.filter { !it.isOpen && !it.savedPhase.isEnded }
         val unconfirmed = context.jobRegistry.openJobs.filterNot { context.confirmation.covers(it) }
-        val endedByPartition = ended.groupBy { Tables.intakePartitionOf(it.id) }
-        for (partition in endedByPartition.keys + unconfirmed.map { Tables.intakePartitionOf(it.id) }) {
+        val endedByPartition = ended.groupBy { partitionOf(it) }
+        for (partition in endedByPartition.keys + unconfirmed.map { partitionOf(it) }) {
             if (!partitionsInFlight.add(partition)) continue
             val jobs = endedByPartition[partition].orEmpty().take(MAX_ENDS_IN_WRITE)
             context.launchGuarded("partition write") {
@@ -59,14 +63,28 @@
         }
     }
 
+    private fun partitionOf(job: TrackedJob): String {
+        val partitions = Tables.intakePartitionsOf(job.id)
+        return partitions.firstOrNull { (avoidedUntilMs[it] ?: Long.MIN_VALUE) <= context.clock() }
+            ?: partitions.first()
+    }
+
     private suspend fun write(partition: String, ended: List<TrackedJob>) {
         val sentAtMs = context.clock()
         val phases = ended.associateWith { it.phase }
-        val rows = ended.map { RowWrite(Tables.endRow(it.id), encodeRow(JobProgress.serializer(), it.toProgress())) }
+        val rows = ended.map {
+            RowWrite(Tables.endRow(it.id, partition), encodeRow(JobProgress.serializer(), it.toProgress()))
+        }
         val outcome = context.fences.write(partition, rows)
-        if (outcome !is StoreOutcome.Applied) return
+        if (outcome !is StoreOutcome.Applied) {
+            avoidedUntilMs[partition] = context.clock() + AVOIDED_MS
+            return
+        }
         context.confirmation.recordPartition(partition, outcome.version, sentAtMs)
-        phases.forEach { (job, phase) -> job.savedPhase = phase }
+        phases.forEach { (job, phase) ->
+            job.savedPhase = phase
+            if (partition != Tables.intakePartitionOf(job.id)) context.jobRegistry.markAlternate(job.id)
+        }
         context.log.event("partition_confirmed", "partition" to partition, "ends" to ended.size)
         context.wakePlanner()
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -52,6 +52,7 @@
         progress.rows.forEach { restoreProgress(it) }
         intake.rows.forEach { restoreEnd(it) }
         // Ended jobs are not decoded: after some minutes they are most of the table.
+        intake.rows.forEach { lifecycle.noteRow(it.id) }
         intake.rows.filterNot { context.jobRegistry.isEnded(it.id.key) }.forEach { applyIntakeRow(it, lifecycle) }
         workers.rows.map { dependencies.workers.decode(it) }.forEach { registry.addListed(it) }
         journal.adopt(roster, notes.rows.firstOrNull { it.id == Tables.JOURNAL_ROW }?.version ?: 0)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
@@ -56,8 +56,24 @@
 
     /** Returns the jobs whose rows are certainly deleted. */
     private suspend fun deleteIntakeRows(jobIds: List<String>, withEnd: Boolean = false): List<String> {
+        val (inBoth, inOne) = deleteIntakeRows(jobIds, Tables::intakePartitionOf, withEnd)
+            .partition { context.jobRegistry.isInAlternatePartition(it) }
+        val partitions = inBoth.groupBy { Tables.alternatePartitionOf(it) }.values
+        return inOne + partitions.flatMap { deleteIntakeRows(it, Tables::alternatePartitionOf, withEnd) }
+    }
+
+    private suspend fun deleteIntakeRows(
+        jobIds: List<String>,
+        partitionOf: (String) -> String,
+        withEnd: Boolean,
+    ): List<String> {
         val rows = jobIds.flatMap {
-            listOfNotNull(Tables.acceptedRow(it), Tables.cancelRow(it), Tables.endRow(it).takeIf { withEnd })
+            val partition = partitionOf(it)
+            listOfNotNull(
+                Tables.acceptedRow(it, partition),
+                Tables.cancelRow(it, partition),
+                Tables.endRow(it, partition).takeIf { withEnd },
+            )
         }
         val outcome = context.store.transact(StoreTransaction(deletes = rows))
         return if (outcome is StoreOutcome.Applied) jobIds else emptyList()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
@@ -49,14 +49,14 @@
     fun covers(job: TrackedJob): Boolean {
         val isCovered = job.storedVersion in 1 until confirmedVersion ||
             confirmedAtMs > job.knownAtMs ||
-            partitions[Tables.intakePartitionOf(job.id)]?.isLaterThan(job) == true
+            Tables.intakePartitionsOf(job.id).any { partitions[it]?.isLaterThan(job) == true }
         if (!isCovered) isWanted = true
         return isCovered
     }
 
     /** True if the job was stored after the takeover, so that no former leader has started it. */
     fun isNewerThanTerm(job: TrackedJob): Boolean =
-        job.storedVersion > maxOf(termRowVersion, formerFenceVersion(Tables.intakePartitionOf(job.id)))
+        job.storedVersion > maxOf(termRowVersion, Tables.intakePartitionsOf(job.id).maxOf(formerFenceVersion))
 
     private class ConfirmedWrite(private val version: Long, private val sentAtMs: Long) {
         fun isLaterThan(job: TrackedJob): Boolean = job.storedVersion in 1 until version || sentAtMs > job.knownAtMs
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
@@ -12,9 +12,17 @@
     val acceptedAtMs: Long,
     /** Monotonic time at which this leader learned of the job. */
     val knownAtMs: Long = acceptedAtMs,
-    /** Version of the stored row; 0 while the job is only announced. */
-    var storedVersion: Long = 0,
+    storedVersion: Long = 0,
 ) {
+    /** Version of the stored row, the first one if there are two; 0 while the job is only announced. */
+    var storedVersion: Long = storedVersion
+        private set
+
+    /** Notes a stored row of the job, which may also be stored in its alternate partition. */
+    fun noteStored(version: Long) {
+        if (version > 0 && (storedVersion == 0L || version < storedVersion)) storedVersion = version
+    }
+
     val id: String get() = accepted.jobId
     val terms get() = accepted.terms
     var phase: JobPhase = JobPhase.PENDING
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -145,17 +145,29 @@
         leader?.cancel()
     }
 
-    fun submit(
+    /** A job that the workers know, but that is not submitted yet. */
+    fun newJob(
         id: String,
         vararg steps: StepDescription,
         priority: Int = 1,
         attempts: Int = 3,
         account: String? = null,
-    ) {
+    ): AcceptedJob {
         val terms = QueueTerms("queue-$priority", SERVICE, priority, attempts, 2.0, 1_000, adviceTerms)
         val job = AcceptedJob(id, JobDescription("payload", steps.toList()), terms, nowMs(), account)
         accepted[id] = job
         durations[id] = steps.maxOf { it.estimateMs }
+        return job
+    }
+
+    fun submit(
+        id: String,
+        vararg steps: StepDescription,
+        priority: Int = 1,
+        attempts: Int = 3,
+        account: String? = null,
+    ) {
+        val job = newJob(id, *steps, priority = priority, attempts = attempts, account = account)
         store.put(Tables.acceptedRow(id), encodeRow(AcceptedJob.serializer(), job))
     }
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentPartitionTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentPartitionTest.kt
@@ -2,7 +2,10 @@
 package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.StateAnswer
+import dev.bronzeshore.core.cluster.SubmitAnswer
 import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.intake.createStoreJobOperations
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
@@ -19,6 +22,10 @@
 class SilentPartitionTest {
     private fun id(number: Int) = number.toString(16).padStart(16, '0')
 
+    /** An id other than [jobId] whose job belongs to the same partition. */
+    private fun idInPartitionOf(jobId: String): String = generateSequence(0) { it + 1 }.map { id(it) }
+        .first { it != jobId && Tables.intakePartitionOf(it) == Tables.intakePartitionOf(jobId) }
+
     /**
      * Guards against an outage of one partition that stops all new work: no job that was stored meanwhile started, and
      * no end was shown, because both need a write to the leader's partition.
@@ -33,6 +40,51 @@
         awaitUntil(withinMs = 2_500) { simulation.runner?.phaseOf(JOB) == JobPhase.COMPLETED }
     }
 
+    /** Guards against submissions that fail for as long as the partition of their job does not respond. */
+    @Test
+    fun `a job whose partition is silent is stored in its alternate partition, starts and ends once`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 33)
+        simulation.lead()
+        simulation.awaitRoster()
+        val silent = setOf(Tables.intakePartitionOf(JOB))
+        simulation.store.faults.silentPartitions["front"] = silent
+        val jobs = createStoreJobOperations(
+            simulation.store.clientFor("front"),
+            { simulation.nowMs() },
+            { true },
+            backgroundScope,
+        )
+        val job = simulation.newJob(JOB, step(replicas = 2, cores = 4, durationMs = 300))
+        assertEquals(SubmitAnswer.Accepted, jobs.submit(job))
+        assertTrue(simulation.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 2_000))
+        assertEquals(StateAnswer.Found(JobPhase.COMPLETED), jobs.stateOf(JOB))
+        // The caller repeats its request through a process that reaches both partitions.
+        simulation.store.faults.silentPartitions.clear()
+        assertEquals(SubmitAnswer.Accepted, jobs.submit(job))
+        delay(OBSERVATION_MS)
+        assertEquals(2, simulation.workers.checker.starts)
+    }
+
+    /** Guards against a job that is unknown to callers, or cannot be cancelled, because its rows are elsewhere. */
+    @Test
+    fun `a job in its alternate partition can be queried and cancelled`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 34)
+        simulation.store.faults.silentPartitions["front"] = setOf(Tables.intakePartitionOf(JOB))
+        val jobs = createStoreJobOperations(
+            simulation.store.clientFor("front"),
+            { simulation.nowMs() },
+            { true },
+            backgroundScope,
+        )
+        jobs.submit(simulation.newJob(JOB, step(replicas = 2, cores = 4, durationMs = 60_000)))
+        assertEquals(StateAnswer.Found(JobPhase.PENDING), jobs.stateOf(JOB))
+        assertEquals(StateAnswer.Unavailable, jobs.stateOf(idInPartitionOf(JOB)))
+        simulation.lead()
+        awaitUntil { simulation.workers.checker.runningCount == 2 }
+        assertTrue(jobs.cancel(JOB))
+        assertTrue(simulation.awaitPhase(JOB, JobPhase.CANCELLED, withinMs = 2_000))
+    }
+
     /** Guards against a job that runs again because its end was stored in its own partition only. */
     @Test
     fun `the next leader knows an end that was stored in the job's partition`() = runTest {
