--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ConfigWatcher.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ConfigWatcher.kt
@@ -71,7 +71,9 @@
         while (!readAll()) delay(RETRY_MS)
         while (true) {
             val sentAt = proof.now()
-            store.changes(PlatformClient.OPERATOR_TABLE, feedVersion, CHANGE_FEED_WAIT_MS).fold(
+            // After an outage callers wait for the next proof, so the store responds at once even without a change.
+            val waitMs = if (proof.isRecent) CHANGE_FEED_WAIT_MS else 0
+            store.changes(PlatformClient.OPERATOR_TABLE, feedVersion, waitMs).fold(
                 ifLeft = { failure ->
                     if (failure is ReadFailure.HistoryGone) readAll()
                     delay(RETRY_MS)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ConfigWatcherTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ConfigWatcherTest.kt
@@ -86,6 +86,19 @@
         assertEquals(proven, setup.proofs.indices.filter { setup.proofs[it].isRecent }.joinToString(";") { "n$it" })
     }
 
+    /** Guards against keys that stay refused after an outage for as long as the change feed waits for a change. */
+    @Test
+    fun `a configuration is proven at once after an outage`() = runTest {
+        val setup = Setup(this)
+        setup.write(1)
+        setup.run()
+        setup.awaitVersion(1, withinMs = DEFAULT_AWAIT_MS)
+        setup.store.faults.isDown = true
+        delay(WITHDRAWAL_BOUND_MS)
+        setup.store.faults.isDown = false
+        awaitUntil(withinMs = 200) { setup.proofs.all { it.isRecent } }
+    }
+
     /** Guards against a proof by a configuration that cannot be decoded: it may withdraw keys. */
     @Test
     fun `a malformed configuration proves nothing`() = runTest {
