Collect few advice calls in a round, and keep only the places that gangs need

Cause: a planning round worked out an advice call for each waiting step. With 1,500 open jobs a round took so long that about 68 calls were made in a second, one for each process and round, although most take 15 ms. The more jobs waited, the longer the rounds. Besides, gangs kept whole workers until all tasks there had ended, and renewed their tickets only once all places were free.

Change: a round collects three calls for each process and length of call (AdviceNeeds); the dispatcher makes the next one when a process is free. Gangs that know enough workers ask last. The leader's load line tells what gangs wait for, and bronzeshorectl trace names an account's limit and the load.

--- a/ctl/src/main/kotlin/dev/bronzeshore/ctl/JobTrace.kt
+++ b/ctl/src/main/kotlin/dev/bronzeshore/ctl/JobTrace.kt
@@ -55,9 +55,13 @@
         val between = lines.filter { it.atMs in jobKnown.atMs..start.atMs }
         val advice = between.firstOrNull { it.event == "advice" && it.isAbout(jobId) }
         val recovery = between.lastOrNull { it.event == "recovery_complete" }
+        val limit = between.firstOrNull { it.event == "limit_reached" && it.isAbout(jobId) }
+        val load = between.lastOrNull { it.event == "load" }
         return "Its first start came ${start.atMs - jobKnown.atMs} ms after it was known" +
             advice?.let { "; permission was given after ${it.atMs - jobKnown.atMs} ms" }.orEmpty() +
-            recovery?.let { "; a takeover lasted until ${it.atMs - jobKnown.atMs} ms" }.orEmpty() + "."
+            recovery?.let { "; a takeover lasted until ${it.atMs - jobKnown.atMs} ms" }.orEmpty() +
+            limit?.let { "; account ${it.fields["account"]} was at its limit" }.orEmpty() +
+            load?.let { "; the workers were used to ${it.fields["used_percent"]} %" }.orEmpty() + "."
     }
 
     private fun describeLongestRun(): String? {
--- a/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
+++ b/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
@@ -72,6 +72,25 @@
 
         @JvmStatic
         fun cases(): List<TraceCase> = listOf(
+            TraceCase(
+                "late at its account's limit",
+                listOf(
+                    schedulerLine(1_000, "job_known", """"job":"$JOB","age_ms":19"""),
+                    schedulerLine(1_010, "limit_reached", """"job":"$JOB","step":"$JOB.0.0","account":"a""""),
+                    schedulerLine(3_000, "load", """"used_percent":97"""),
+                    schedulerLine(4_000, "start", """"task":"$JOB.0.0.9","run":1,"worker":"w1","result":"STARTED""""),
+                    schedulerLine(
+                        5_000,
+                        "job_ended",
+                        """"job":"$JOB","phase":"COMPLETED","duration_ms":4000,"objective_ms":3000""",
+                    ),
+                ),
+                listOf(
+                    "Late by 1000 ms.",
+                    "Its first start came 3000 ms after it was known; account a was at its limit; the workers were used to " +
+                        "97 %.",
+                ),
+            ),
             TraceCase(
                 "refused",
                 refusedLog,
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
@@ -22,7 +22,7 @@
 private const val MAX_WORKERS_IN_CALL = 50
 
 /** Workers in each of several parallel calls; with fewer, most of the total time is spent on fixed costs. */
-private const val WORKERS_IN_PARALLEL_CALL = 30
+internal const val WORKERS_IN_PARALLEL_CALL = 30
 
 /** Part of a ticket's validity that passes in transit from the service and to the worker. */
 private const val TICKET_TRANSIT_MS = 60L
@@ -39,27 +39,43 @@
     private val callOf = HashMap<String, CallLength>()
     private val pausedUntilMs = HashMap<String, Long>()
 
-    /** Sends calls for the needs in their order, as long as there are idle clients. */
-    fun ask(needs: List<AdviceNeed>) {
-        if (needs.isEmpty()) return
-        val now = context.clock()
-        val usableClients = clients().filter { (pausedUntilMs[it.name] ?: Long.MIN_VALUE) <= now }
-        val idleClients = ArrayDeque(usableClients.filter { it.name !in callOf })
-        val busy = usableClients.mapNotNull { callOf[it.name] }
-        val slots = AdviceSlots(usableClients.size, busy, needs.map { lengthOf(it) })
-        for (need in needs) {
+    /** Processes that can make calls now, or once their present call is over. */
+    private val usableClients: List<AdviceClient>
+        get() {
+            val now = context.clock()
+            return clients().filter { (pausedUntilMs[it.name] ?: Long.MIN_VALUE) <= now }
+        }
+
+    private var needs = AdviceNeeds(clients = 0)
+
+    /** An empty collection of needs, as large as the number of clients makes sense of. */
+    fun newNeeds() = AdviceNeeds(usableClients.size)
+
+    /** Sends calls for the needs in their order, as long as there are idle clients, and the others when there are. */
+    fun ask(needs: AdviceNeeds) {
+        this.needs = needs
+        askNext()
+    }
+
+    private fun askNext() {
+        val open = needs.all
+        if (open.isEmpty()) return
+        val usable = usableClients
+        val idleClients = ArrayDeque(usable.filter { it.name !in callOf })
+        val slots = AdviceSlots(usable.size, usable.mapNotNull { callOf[it.name] }, open.map { it.length })
+        for (need in open) {
             if (idleClients.isEmpty()) return
-            val length = lengthOf(need)
-            splitIntoCalls(need.workers, minOf(slots.freeFor(length), idleClients.size)).forEach {
-                slots.begin(length)
-                send(idleClients.removeFirst(), need.step, it, length)
+            val calls = splitIntoCalls(need.workers, minOf(slots.freeFor(need.length), idleClients.size))
+            if (calls.isEmpty()) continue
+            needs.remove(need)
+            if (!need.isOpen(context.clock())) continue
+            calls.forEach {
+                slots.begin(need.length)
+                send(idleClients.removeFirst(), need.step, it, need.length)
             }
         }
     }
 
-    private fun lengthOf(need: AdviceNeed) =
-        CallLength.of(durationMs(need.step, minOf(need.workers.size, WORKERS_IN_PARALLEL_CALL)))
-
     private fun durationMs(step: TrackedStep, workers: Int): Long = step.job.terms.advice?.durationMs(workers) ?: 0
 
     private fun send(client: AdviceClient, step: TrackedStep, workers: List<WorkerIncarnation>, length: CallLength) {
@@ -73,6 +89,7 @@
             } finally {
                 callOf -= client.name
                 step.advice.endCall(workers)
+                askNext()
                 context.wakePlanner()
             }
         }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceNeed.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceNeed.kt
@@ -18,8 +18,24 @@
 /** A step whose good workers are fewer than this share of its tasks asks about workers without room as well. */
 private const val MIN_GOOD_SHARE = 0.6
 
-/** Workers that a step asks about, best first. */
-internal class AdviceNeed(val step: TrackedStep, val workers: List<WorkerIncarnation>)
+/** Workers that a step asks about, best first; [isOptional] if the step knows enough workers and could wait for them. */
+internal class AdviceNeed(
+    val step: TrackedStep,
+    val workers: List<WorkerIncarnation>,
+    val isOptional: Boolean = false,
+) {
+    /** Length of one of the calls into which the need is split. */
+    val length: CallLength = lengthOfCall(step, workers.size)
+
+    /** False if the step has started, ended or asked otherwise since the need was worked out. */
+    fun isOpen(nowMs: Long): Boolean = step.job.isOpen && step.hasPendingTasks && step.advice.mayAsk(nowMs)
+}
+
+/** Length of a call about [workers] of the step's workers. */
+internal fun lengthOfCall(step: TrackedStep, workers: Int): CallLength {
+    val workersInCall = workers.coerceIn(MIN_WORKERS_ASKED, WORKERS_IN_PARALLEL_CALL)
+    return CallLength.of(step.job.terms.advice?.durationMs(workersInCall) ?: 0)
+}
 
 /** How many of the workers of a service a step knows and lacks. */
 internal data class AdviceShortage(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceSlots.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceSlots.kt
@@ -15,7 +15,7 @@
 ) {
     SHORT(1.0, 1.0),
     LONG(0.75, 0.75),
-    VERY_LONG(0.75, 0.4),
+    VERY_LONG(0.75, 0.6),
     ;
 
     internal companion object {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -101,7 +101,7 @@
         while (true) {
             withTimeoutOrNull(MAX_ROUND_INTERVAL_MS) { wakePlanner.receive() }
             val startedAtMs = context.clock()
-            val plan = planner.plan()
+            val plan = planner.plan(advice.newNeeds())
             plan.starts.forEach(starter::start)
             advice.ask(plan.adviceNeeds)
             val durationMs = context.clock() - startedAtMs
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
@@ -27,7 +27,7 @@
             "waiting_in_time" to (byLateness[Lateness.IN_TIME] ?: 0),
             "waiting_late" to (byLateness[Lateness.LATE] ?: 0),
             "waiting_worthless" to (byLateness[Lateness.WORTHLESS] ?: 0),
-            "waiting_gangs" to waiting.count { it.description.isGang },
+            "gang_waits" to context.gangWaits,
         )
     }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -9,8 +9,8 @@
 
 import dev.bronzeshore.core.cluster.ClientAccounts
 
-/** The starts of a round, and what steps need from the advice service before they can start. */
-internal class Plan(val starts: List<PlannedStart>, val adviceNeeds: List<AdviceNeed>)
+/** The starts of a round, and what steps need from the advice service, what they cannot start without first. */
+internal class Plan(val starts: List<PlannedStart>, val adviceNeeds: AdviceNeeds)
 
 internal class Planner(
     private val context: TermContext,
@@ -19,17 +19,19 @@
     /** False while runs of the job that a former leader started may exist without this leader knowing them. */
     private val mayStart: (TrackedJob) -> Boolean,
 ) {
-    fun plan(): Plan {
+    /** Plans a round; [adviceNeeds] collects the advice calls that steps want. */
+    fun plan(adviceNeeds: AdviceNeeds): Plan {
         val now = context.clock()
         trials.update(now)
         val accounts = context.accounts()
         val budget = AccountBudget(accounts, context.workerPool.accountUsage, unknownUsage::of)
-        val round = PlanningRound(context, now, context.firstRunNumber, trials, budget)
+        val round = PlanningRound(context, now, context.firstRunNumber, trials, budget, adviceNeeds)
         val waiting = waitingSteps(now)
         val ranked = if (accounts == null) waiting else markOverShare(waiting, accounts)
         ranked.sortedWith(STEP_ORDER).forEach { round.place(it.step) }
+        context.gangWaits = round.gangWaits
         if (context.confirmation.isWanted) context.wakeJournal()
-        return Plan(round.starts, round.adviceNeeds)
+        return Plan(round.starts, adviceNeeds)
     }
 
     private fun markOverShare(steps: List<RankedStep>, accounts: ClientAccounts): List<RankedStep> {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -1,7 +1,7 @@
 /** Places the waiting steps of one planning round, one after the other. */
 package dev.bronzeshore.scheduler
 
-/** Gangs may reserve this share of a service's workers; more would leave too much capacity idle. */
+/** Gangs may reserve this share of a service's capacity; more would leave too much of it idle. */
 private const val MAX_RESERVED_SHARE = 0.25
 
 /** On a small fleet, so many gangs may reserve capacity whatever their share is. */
@@ -27,22 +27,30 @@
     private val firstRunNumber: Long,
     private val trials: CrashTrials,
     private val budget: AccountBudget,
+    private val adviceNeeds: AdviceNeeds,
 ) {
     private val workersByService = HashMap<String, List<RoundWorker>>()
     private val tasksWithStrayRuns = context.workerPool.tasksWithStrayRuns()
     private var gangReservations = 0
-    private val reservedWorkers = HashMap<String, Int>()
+    private val reservedMillicores = HashMap<String, Long>()
+    val gangWaits = HashMap<GangWait, Int>()
     val starts = ArrayList<PlannedStart>()
-    val adviceNeeds = ArrayList<AdviceNeed>()
 
     fun place(step: TrackedStep) {
         val startable = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
         if (startable.isEmpty() || step.description.isGang && startable.size < step.tasks.size) return
+        // Nothing can be done for the step in this round: it knows no worker, and others ask first.
+        if (step.needsAdvice && !step.advice.isKnown && adviceNeeds.isFull(lengthOfCall(step, startable.size))) {
+            if (step.description.isGang) countWait(GangWait.ADVICE)
+            return
+        }
         val workers = workersFor(step)
         val good = if (step.needsAdvice) workers.filter { step.advice.mayRunOn(it.worker.incarnation) } else workers
         val tasks = withinLimit(step, startable, good)
         // A gang that waits for its account's limit gets its advice meanwhile.
-        if (tasks.isEmpty() && step.needsAdvice) explore(step, startable.size, startable.size, workers, good)
+        if (tasks.isEmpty() && step.needsAdvice && !knowsRoomFor(step, startable.size, good)) {
+            explore(step, startable.size, startable.size, workers, good)
+        }
         if (tasks.isEmpty()) return
         val assignments = assign(step, tasks, good)
         reserveForTrials(step, tasks, good, assignments)
@@ -67,6 +75,7 @@
         if (places >= tasks.size) return tasks
         step.logLimit(context, isTooLow = step.description.isGang && budget.isBeyondLimit(step, tasks.size))
         if (!step.description.isGang) return tasks.take(places)
+        countWait(GangWait.LIMIT)
         if (!budget.isBeyondLimit(step, tasks.size) && knowsRoomFor(step, tasks.size, good)) {
             step.reserve(now + GANG_RESERVATION_MS)
             budget.hold(step)
@@ -152,7 +161,7 @@
         workers: List<RoundWorker>,
         good: List<RoundWorker>,
     ) {
-        if (!step.advice.mayAsk(now)) return
+        if (!step.advice.mayAsk(now) || adviceNeeds.isFull(lengthOfCall(step, pending))) return
         val unasked = workers.filter { !step.advice.isAsked(it.worker.incarnation) }
         val (withRoom, withoutRoom) = unasked.partition { step.taskDemand.fitsIn(it.free) }
         val share = context.adviceShares.goodShare(step.job.terms.queue)
@@ -167,7 +176,10 @@
             withRoom.sortedByDescending { it.free.processorsMillicores / it.slowness },
             withoutRoom,
         )
-        if (chosen.isNotEmpty()) adviceNeeds += AdviceNeed(step, chosen.map { it.worker.incarnation })
+        val isOptional = step.description.isGang && step.advice.isKnown && hasEnoughGood(step, good)
+        if (chosen.isNotEmpty()) {
+            adviceNeeds.add(AdviceNeed(step, chosen.map { it.worker.incarnation }, isOptional))
+        }
     }
 
     /** True if the new workers with room are expected to help: a gang needs places for all missing members. */
@@ -186,12 +198,12 @@
      * Renews the tickets of the chosen workers in one go. All of them must hold when the answers arrive, so tickets
      * that would expire meanwhile are renewed as well; a gang never starts if it renews them one by one.
      */
-    private fun renewTickets(step: TrackedStep, assignments: List<Assignment>) {
+    private fun renewTickets(step: TrackedStep, targets: List<RoundWorker>) {
         if (!step.advice.mayAsk(now)) return
-        val chosen = assignments.map { it.target.worker.incarnation }.distinct()
+        val chosen = targets.map { it.worker.incarnation }.distinct()
         val answeredAtMs = now + (step.job.terms.advice?.durationMs(chosen.size) ?: 0)
         val expiring = chosen.filter { step.advice.ticketFor(it, answeredAtMs) == null }
-        if (expiring.isNotEmpty()) adviceNeeds += AdviceNeed(step, expiring)
+        if (expiring.isNotEmpty()) adviceNeeds.add(AdviceNeed(step, expiring))
     }
 
     /** Starts the tasks with valid tickets and reserves the capacity of the others until their tickets arrive. */
@@ -202,8 +214,8 @@
             !step.needsAdvice || step.advice.ticketFor(it.target.worker.incarnation, now) != null
         }
         if (ready.size < assignments.size) {
-            renewTickets(step, assignments)
-            if (step.description.isGang) return
+            renewTickets(step, assignments.map { it.target })
+            if (step.description.isGang) return countWait(GangWait.TICKETS)
         }
         val gangRun = maxOf(step.tasks.maxOf { it.lastRun } + 1, firstRunNumber)
         ready.mapTo(starts) {
@@ -213,24 +225,37 @@
         }
     }
 
-    /** Reserves free capacity for a gang that does not fit now but would fit on the good workers when idle. */
+    /** Keeps room for a gang that does not fit now but would fit on the good workers when idle. */
     private fun reserveForGang(step: TrackedStep, count: Int, good: List<RoundWorker>) {
         val service = step.job.terms.service
-        val reserved = reservedWorkers[service] ?: 0
-        val isShareUsed = reserved >= MAX_RESERVED_SHARE * workersOf(service).size
-        if (!knowsRoomFor(step, count, good) || gangReservations >= MIN_GANG_RESERVATIONS && isShareUsed) return
+        val reserved = reservedMillicores[service] ?: 0
+        val isShareUsed = reserved >= MAX_RESERVED_SHARE * capacityMillicoresOf(service)
+        if (!knowsRoomFor(step, count, good)) return countWait(GangWait.ADVICE)
+        if (gangReservations >= MIN_GANG_RESERVATIONS && isShareUsed) return countWait(GangWait.SHARE)
+        countWait(GangWait.PLACES)
         gangReservations++
         budget.take(step, count)
         step.reserve(now + GANG_RESERVATION_MS)
-        var unplaced = count
-        for (target in good.sortedBy { it.reservationCost(step) }) {
-            if (unplaced <= 0) break
-            unplaced -= target.fittingWhenIdle(step, unplaced)
-            target.reserveFor(step)
-            reservedWorkers.merge(service, 1, Int::plus)
-        }
+        val places = earliestPlaces(step, count, good, now)
+        places.forEach { it.target.reserveFor(step) }
+        if (step.needsAdvice && places.size == count) renewTicketsAhead(step, places)
+        reservedMillicores.merge(service, step.taskDemand.processorsMillicores * count, Long::plus)
     }
 
+    /** Asks for the tickets so early that they arrive when the places are free; otherwise these lie idle meanwhile. */
+    private fun renewTicketsAhead(step: TrackedStep, places: List<GangPlace>) {
+        val targets = places.map { it.target }.distinct()
+        val callMs = step.job.terms.advice?.durationMs(targets.size) ?: 0
+        if (places.maxOf { it.readyAtMs } <= now + callMs) renewTickets(step, targets)
+    }
+
+    private fun countWait(reason: GangWait) {
+        gangWaits.merge(reason, 1, Int::plus)
+    }
+
+    private fun capacityMillicoresOf(service: String): Long =
+        workersOf(service).sumOf { it.worker.entry.capacity.processorsMillicores }
+
     /** True if [count] tasks of the step fit on the workers that may run it, once these are idle. */
     private fun knowsRoomFor(step: TrackedStep, count: Int, good: List<RoundWorker>): Boolean =
         good.sumOf { it.fittingWhenIdle(step, count).toLong() } >= count
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
@@ -3,10 +3,8 @@
 
 import dev.bronzeshore.core.Resources
 
-/** Larger than any difference in slowness and free capacity, so that a gang does not change its workers. */
-private const val KEPT_RESERVATION_BONUS = 100.0
-
 internal class RoundWorker(val worker: TrackedWorker, val slowness: Double) {
+    /** Negative in a dimension in which gangs keep more than is free now. */
     var free: Resources = worker.free
         private set
 
@@ -14,8 +12,10 @@
     var hasNewRuns: Boolean = false
         private set
 
-    /** The gang that reserved the worker in the previous round. */
-    val reservedFor: TrackedStep? = worker.takeReservation()
+    /** The gangs that kept room on the worker in the previous round. */
+    val keptBy: Set<TrackedStep> = worker.takeReservations()
+
+    private var expectedEnds: List<ExpectedEnd>? = null
 
     /** Takes capacity from the steps that are planned later. */
     fun reserve(demand: Resources) {
@@ -23,20 +23,22 @@
         free -= demand
     }
 
-    /** Keeps all free capacity for a gang; the next round prefers the same worker for it. */
+    /** Keeps room for a member of a gang, also if it is not free yet; the next round prefers the same worker for it. */
     fun reserveFor(gang: TrackedStep) {
-        free = Resources.NONE
+        free -= gang.taskDemand
         worker.reserveFor(gang)
     }
 
-    /** Order in which a gang reserves workers: those that it has, then fast ones that are soon free. */
-    fun reservationCost(gang: TrackedStep): Double {
-        if (reservedFor === gang) return slowness - KEPT_RESERVATION_BONUS
-        val capacity = worker.entry.capacity.processorsMillicores.coerceAtLeast(1)
-        return slowness - free.processorsMillicores.toDouble() / capacity
-    }
+    /** The runs on the worker in the order in which they are expected to end. */
+    fun expectedEnds(now: Long): List<ExpectedEnd> = expectedEnds ?: worker.placements
+        .map { ExpectedEnd(it.expectedEndMs(slowness, now), it.task.step.taskDemand) }
+        .sortedBy { it.endsAtMs }
+        .also { expectedEnds = it }
 }
 
+/** When a run is expected to end, and what it releases. */
+internal data class ExpectedEnd(val endsAtMs: Long, val released: Resources)
+
 /** How many times this amount fits into [available]. */
 internal fun Resources.countIn(available: Resources): Int = minOf(
     timesIn(processorsMillicores, available.processorsMillicores),
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunProgress.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunProgress.kt
@@ -19,6 +19,9 @@
     /** The report in which the progress last increased, or the first one. */
     private var increased: RunEvidence? = null
 
+    /** Time on the leader's clock at which [percent] was reported; null before the first report. */
+    val increasedAtMs: Long? get() = increased?.receivedAtMs
+
     /** Records a report; true if the run has advanced. */
     fun observe(reportedPercent: Int, evidence: RunEvidence): Boolean {
         last = evidence
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -61,6 +61,9 @@
     val changes = UnsavedChanges()
     val submissionRates = SubmissionRates()
 
+    /** What the gangs waited for in the last planning round, with their numbers. */
+    var gangWaits: Map<GangWait, Int> = emptyMap()
+
     /** All changes up to this number are stored. */
     var savedChangeNumber: Long = 0
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
@@ -121,6 +121,20 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
+    /** Guards against places that lie idle for a whole advice call, because a gang renews its tickets once it has them. */
+    @Test
+    fun `a gang has its tickets when its places become free`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 23, workerCount = 12)
+        simulation.lead()
+        simulation.awaitRoster()
+        val busyForMs = 3_000L
+        simulation.submit(WIDE, step(replicas = 12, cores = 16, durationMs = busyForMs))
+        awaitUntil { simulation.workers.checker.runningCount == 12 }
+        simulation.adviceTerms = AdviceTerms(decisionMs = 700.0, perWorkerMs = 5.0, validityMs = 1_200)
+        simulation.submit(GANG, step(replicas = 2, cores = 16, durationMs = 500, isGang = true))
+        assertTrue(simulation.awaitPhase(GANG, JobPhase.COMPLETED, withinMs = busyForMs + 500 + 300))
+    }
+
     /** Guards against starts beyond the capacity of a worker that has shrunk, and against one that stays small. */
     @Test
     fun `a worker whose capacity shrinks gets no more than it has left`() = runTest {
