Split the placing of a step, and give the rows of the intake table a file of their own

Change: PlanningRound.place is split by what it needs; IntakeRows holds the rows and partitions that came with silent partitions. No behaviour changes.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -46,24 +46,10 @@
     /** Sorts after every key that begins with a job id and ends with a printable character. */
     private const val LAST_CHARACTER = "~"
     private const val CANCEL_SUFFIX = ".cancel"
-    private const val END_SUFFIX = ".end"
-
-    /** Sorts after all job ids. */
-    private const val FENCE_KEY = "~fence"
 
     public fun intakePartitionOf(jobId: String): String =
         INTAKE_PARTITIONS[Math.floorMod(jobId.hashCode(), INTAKE_PARTITIONS.size)]
 
-    /** The partition that takes the rows of a job while its own does not respond. */
-    public fun alternatePartitionOf(jobId: String): String {
-        val number = Math.floorMod(jobId.hashCode() + INTAKE_PARTITION_COUNT / 2, INTAKE_PARTITION_COUNT)
-        return INTAKE_PARTITIONS[number]
-    }
-
-    /** The partitions in which rows of a job may be, its own one first. */
-    public fun intakePartitionsOf(jobId: String): List<String> =
-        listOf(intakePartitionOf(jobId), alternatePartitionOf(jobId))
-
     public fun acceptedRow(jobId: String, partition: String = intakePartitionOf(jobId)): RowId =
         RowId(INTAKE, partition, jobId)
 
@@ -73,23 +59,8 @@
     /** The job id of a cancellation row, or null for other rows. */
     public fun cancelledJobOf(key: String): String? = key.removeSuffix(CANCEL_SUFFIX).takeIf { it != key }
 
-    /** The end of a job, stored beside its accepted row while the leader's partition does not respond. */
-    public fun endRow(jobId: String, partition: String = intakePartitionOf(jobId)): RowId =
-        RowId(INTAKE, partition, jobId + END_SUFFIX)
-
-    /** The job id of an end row, or null for other rows. */
-    public fun endedJobOf(key: String): String? = key.removeSuffix(END_SUFFIX).takeIf { it != key }
-
-    /** The term of the leader that may write about the jobs of an intake partition. */
-    public fun fenceRow(partition: String): RowId = RowId(INTAKE, partition, FENCE_KEY)
-
-    public fun isFence(id: RowId): Boolean = id.key == FENCE_KEY
-
     public fun progressRow(jobId: String): RowId = RowId(PROGRESS, LEADER_PARTITION, jobId)
 
-    /** The job that a row of the intake table is about. */
-    public fun jobOfIntakeKey(key: String): String = key.substringBefore('.')
-
     /** The range of exactly the rows of [jobId] in a table whose keys start with job ids. */
     public fun rowsOfJob(table: String, partition: String, jobId: String): RowRangeQuery =
         RowRangeQuery(table, partition, jobId, jobId + LAST_CHARACTER)
--- a/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
+++ b/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
@@ -87,8 +87,8 @@
                 ),
                 listOf(
                     "Late by 1000 ms.",
-                    "Its first start came 3000 ms after it was known; account a was at its limit; the workers were used to " +
-                        "97 %.",
+                    "Its first start came 3000 ms after it was known; account a was at its limit; the workers were " +
+                        "used to 97 %.",
                 ),
             ),
             TraceCase(
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
@@ -6,6 +6,7 @@
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.JobOperations
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.JobProgress
@@ -60,10 +61,10 @@
         val progress = progressOf(jobId)
         if (progress is StateAnswer.Found && progress.phase.isEnded) return progress
         val partitions = coroutineScope {
-            Tables.intakePartitionsOf(jobId).map { async { readJobRows(Tables.INTAKE, it, jobId) } }.awaitAll()
+            IntakeRows.partitionsOf(jobId).map { async { readJobRows(Tables.INTAKE, it, jobId) } }.awaitAll()
         }
         val rows = partitions.filterNotNull().flatten()
-        val end = rows.firstOrNull { Tables.endedJobOf(it.id.key) != null }?.value
+        val end = rows.firstOrNull { IntakeRows.endedJobOf(it.id.key) != null }?.value
         val isAccepted = rows.any { it.id.key == jobId }
         return when {
             end != null -> decodeState(jobId, end)
@@ -108,7 +109,7 @@
 
     /** Stores the cancellation of an unknown job too, because its submission may still be in flight to the store. */
     suspend fun cancel(jobId: String): Boolean {
-        val partitions = Tables.intakePartitionsOf(jobId)
+        val partitions = IntakeRows.partitionsOf(jobId)
         val first = silentPartitions.choose(partitions)
         var outcome = storeCancellation(jobId, first)
         if (outcome !is StoreOutcome.Applied) outcome = storeCancellation(jobId, partitions.first { it != first })
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -3,8 +3,8 @@
  *
  * A job is accepted once its row exists. The row of a job that was submitted before stays unchanged, so that repeated
  * submissions are idempotent. If the partition does not respond, the jobs are stored in their alternate one; a job that
- * is stored in both is still one job. A transaction does not wait for a full batch: it takes all jobs that have arrived while
- * the previous one was in flight.
+ * is stored in both is still one job. A transaction does not wait for a full batch: it takes all jobs that have arrived
+ * while the previous one was in flight.
  */
 package dev.bronzeshore.intake
 
@@ -12,6 +12,7 @@
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.RowCondition
 import dev.bronzeshore.core.cluster.RowWrite
 import dev.bronzeshore.core.cluster.StoreOutcome
@@ -82,7 +83,7 @@
     private suspend fun write(batch: List<PendingJob>) {
         var open = batch
         var isUncertain = false
-        val partitions = Tables.intakePartitionsOf(batch.first().job.jobId)
+        val partitions = IntakeRows.partitionsOf(batch.first().job.jobId)
         var partition = silentPartitions.choose(partitions)
         val retryUntilMs = clock() + MAX_RETRY_TIME_MS
         while (open.isNotEmpty()) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceNeed.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceNeed.kt
@@ -18,7 +18,7 @@
 /** A step whose good workers are fewer than this share of its tasks asks about workers without room as well. */
 private const val MIN_GOOD_SHARE = 0.6
 
-/** Workers that a step asks about, best first; [isOptional] if the step knows enough workers and could wait for them. */
+/** Workers that a step asks about, best first; [isOptional] if the step knows enough workers to wait for. */
 internal class AdviceNeed(
     val step: TrackedStep,
     val workers: List<WorkerIncarnation>,
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/GangReservation.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/GangReservation.kt
@@ -1,8 +1,8 @@
 /**
  * Chooses the places that a waiting gang keeps on busy workers.
  *
- * The load it answers: workers full of small tasks, and wide gangs whose members need far more than what becomes free at
- * a time. A gang keeps room for its members where they can end first, and only that room: the rest of such a worker
+ * The load it answers: workers full of small tasks, and wide gangs whose members need far more than what becomes free
+ * at a time. A gang keeps room for its members where they can end first, and only that room: the rest of such a worker
  * goes on taking small tasks. Keeping whole workers leaves a fifth of the capacity idle, because all of their tasks
  * have to end first.
  */
@@ -35,10 +35,10 @@
     TICKETS,
 }
 
-/** Room on a worker for one more member of a gang: when it is expected, and when the member is expected to end there. */
+/** Room on a worker for one more member of a gang: when it is expected, and when the member would end there. */
 internal class GangPlace(val target: RoundWorker, val readyAtMs: Long, val endsAtMs: Long)
 
-/** The [count] places on [targets] at which members of [gang] are expected to end first; fewer if there are not enough. */
+/** The [count] places on [targets] at which members of [gang] are expected to end first, or as many as there are. */
 internal fun earliestPlaces(gang: TrackedStep, count: Int, targets: List<RoundWorker>, now: Long): List<GangPlace> =
     targets.flatMap { target ->
         val runMs = (gang.description.estimateMs * target.slowness).toLong()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -3,6 +3,7 @@
 
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.EndKind
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.StoredRow
@@ -48,7 +49,7 @@
 
     /** Notes where the rows of a job are. */
     fun noteRow(id: RowId) {
-        val jobId = Tables.jobOfIntakeKey(id.key)
+        val jobId = IntakeRows.jobOf(id.key)
         if (id.partition != Tables.intakePartitionOf(jobId)) jobs.markAlternate(jobId)
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLookup.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLookup.kt
@@ -7,6 +7,7 @@
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.HoldAnswer
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.Tables
 
 internal class JobLookup(private val context: TermContext, private val lifecycle: JobLifecycle) {
@@ -27,7 +28,7 @@
         jobId in absentJobs
 
     private suspend fun read(jobId: String) {
-        for (partition in Tables.intakePartitionsOf(jobId)) {
+        for (partition in IntakeRows.partitionsOf(jobId)) {
             val page = context.store.readPage(Tables.rowsOfJob(Tables.INTAKE, partition, jobId)).fold(
                 ifLeft = { return context.log.event("job_lookup", "job" to jobId, "outcome" to it) },
                 ifRight = { it },
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -10,6 +10,7 @@
 import dev.bronzeshore.core.cluster.ClientAccounts
 import dev.bronzeshore.core.cluster.ClusterBounds
 import dev.bronzeshore.core.cluster.ClusterStore
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.ReadFailure
 import dev.bronzeshore.core.cluster.StoredRow
@@ -192,10 +193,10 @@
 /** Applies a row of the intake table: an accepted job or a cancellation. */
 internal fun applyIntakeRow(row: StoredRow, lifecycle: JobLifecycle) {
     val value = row.value ?: return
-    if (Tables.isFence(row.id)) return
+    if (IntakeRows.isFence(row.id)) return
     lifecycle.noteRow(row.id)
     // Only this leader writes ends, and knows what they say.
-    if (Tables.endedJobOf(row.id.key) != null) return
+    if (IntakeRows.endedJobOf(row.id.key) != null) return
     val cancelled = Tables.cancelledJobOf(row.id.key)
     if (cancelled != null) return lifecycle.cancel(cancelled)
     decodeRow(AcceptedJob.serializer(), value).fold(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionFences.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionFences.kt
@@ -6,6 +6,7 @@
  */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.RowCondition
 import dev.bronzeshore.core.cluster.RowWrite
 import dev.bronzeshore.core.cluster.StoreOutcome
@@ -46,11 +47,11 @@
         while (true) {
             val content = reader.readPart(Tables.INTAKE, partition)
             if (content != null) {
-                val knownVersion = content.rows.firstOrNull { Tables.isFence(it.id) }?.version ?: 0
+                val knownVersion = content.rows.firstOrNull { IntakeRows.isFence(it.id) }?.version ?: 0
                 // What a former leader writes after the read changes the fence, so that the write is refused.
                 if (write(partition, knownVersion) is StoreOutcome.Applied) {
                     formerVersions[partition] = knownVersion
-                    return TableContent(content.rows.filterNot { Tables.isFence(it.id) }, content.version)
+                    return TableContent(content.rows.filterNot { IntakeRows.isFence(it.id) }, content.version)
                 }
             }
             delay(RETRY_MS)
@@ -66,7 +67,7 @@
         knownVersion: Long,
         writes: List<RowWrite> = emptyList(),
     ): StoreOutcome {
-        val fence = Tables.fenceRow(partition)
+        val fence = IntakeRows.fenceRow(partition)
         val transaction = StoreTransaction(
             conditions = listOf(RowCondition(fence, knownVersion)),
             writes = writes + RowWrite(fence, context.term.toString().toByteArray()),
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
@@ -8,6 +8,7 @@
  */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.JobProgress
 import dev.bronzeshore.core.cluster.RowWrite
 import dev.bronzeshore.core.cluster.StoreOutcome
@@ -64,7 +65,7 @@
     }
 
     private fun partitionOf(job: TrackedJob): String {
-        val partitions = Tables.intakePartitionsOf(job.id)
+        val partitions = IntakeRows.partitionsOf(job.id)
         return partitions.firstOrNull { (avoidedUntilMs[it] ?: Long.MIN_VALUE) <= context.clock() }
             ?: partitions.first()
     }
@@ -73,7 +74,7 @@
         val sentAtMs = context.clock()
         val phases = ended.associateWith { it.phase }
         val rows = ended.map {
-            RowWrite(Tables.endRow(it.id, partition), encodeRow(JobProgress.serializer(), it.toProgress()))
+            RowWrite(IntakeRows.endRow(it.id, partition), encodeRow(JobProgress.serializer(), it.toProgress()))
         }
         val outcome = context.fences.write(partition, rows)
         if (outcome !is StoreOutcome.Applied) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -39,19 +39,30 @@
     fun place(step: TrackedStep) {
         val startable = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
         if (startable.isEmpty() || step.description.isGang && startable.size < step.tasks.size) return
-        // Nothing can be done for the step in this round: it knows no worker, and others ask first.
-        if (step.needsAdvice && !step.advice.isKnown && adviceNeeds.isFull(lengthOfCall(step, startable.size))) {
+        if (cannotAskYet(step, startable.size)) {
             if (step.description.isGang) countWait(GangWait.ADVICE)
             return
         }
         val workers = workersFor(step)
         val good = if (step.needsAdvice) workers.filter { step.advice.mayRunOn(it.worker.incarnation) } else workers
         val tasks = withinLimit(step, startable, good)
-        // A gang that waits for its account's limit gets its advice meanwhile.
-        if (tasks.isEmpty() && step.needsAdvice && !knowsRoomFor(step, startable.size, good)) {
+        if (tasks.isNotEmpty()) return place(step, tasks, workers, good)
+        // A step that waits for its account's limit gets its advice meanwhile.
+        if (step.needsAdvice && !knowsRoomFor(step, startable.size, good)) {
             explore(step, startable.size, startable.size, workers, good)
         }
-        if (tasks.isEmpty()) return
+    }
+
+    /** True if nothing can be done for the step in this round: it knows no worker, and others ask first. */
+    private fun cannotAskYet(step: TrackedStep, pending: Int): Boolean =
+        step.needsAdvice && !step.advice.isKnown && adviceNeeds.isFull(lengthOfCall(step, pending))
+
+    private fun place(
+        step: TrackedStep,
+        tasks: List<TrackedTask>,
+        workers: List<RoundWorker>,
+        good: List<RoundWorker>,
+    ) {
         val assignments = assign(step, tasks, good)
         reserveForTrials(step, tasks, good, assignments)
         val missing = tasks.size - assignments.size
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -7,6 +7,7 @@
  */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.JobProgress
 import dev.bronzeshore.core.cluster.RosterWorker
 import dev.bronzeshore.core.cluster.StoredRow
@@ -97,7 +98,7 @@
 
     /** Restores the end of a job that a former leader stored while its own partition did not respond. */
     private fun restoreEnd(row: StoredRow) {
-        val jobId = Tables.endedJobOf(row.id.key) ?: return
+        val jobId = IntakeRows.endedJobOf(row.id.key) ?: return
         val stored = row.decoded(JobProgress.serializer()) ?: return context.jobRegistry.setAside(jobId)
         context.jobRegistry.recordEnded(jobId, stored.endedAtMs ?: context.wallClock())
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
@@ -7,6 +7,7 @@
  */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.RowCondition
 import dev.bronzeshore.core.cluster.StoreOutcome
 import dev.bronzeshore.core.cluster.StoreTransaction
@@ -58,8 +59,8 @@
     private suspend fun deleteIntakeRows(jobIds: List<String>, withEnd: Boolean = false): List<String> {
         val (inBoth, inOne) = deleteIntakeRows(jobIds, Tables::intakePartitionOf, withEnd)
             .partition { context.jobRegistry.isInAlternatePartition(it) }
-        val partitions = inBoth.groupBy { Tables.alternatePartitionOf(it) }.values
-        return inOne + partitions.flatMap { deleteIntakeRows(it, Tables::alternatePartitionOf, withEnd) }
+        val partitions = inBoth.groupBy { IntakeRows.alternatePartitionOf(it) }.values
+        return inOne + partitions.flatMap { deleteIntakeRows(it, IntakeRows::alternatePartitionOf, withEnd) }
     }
 
     private suspend fun deleteIntakeRows(
@@ -72,7 +73,7 @@
             listOfNotNull(
                 Tables.acceptedRow(it, partition),
                 Tables.cancelRow(it, partition),
-                Tables.endRow(it, partition).takeIf { withEnd },
+                IntakeRows.endRow(it, partition).takeIf { withEnd },
             )
         }
         val outcome = context.store.transact(StoreTransaction(deletes = rows))
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
@@ -9,7 +9,7 @@
  */
 package dev.bronzeshore.scheduler
 
-import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.IntakeRows
 
 internal class TermConfirmation(
     private val termRowVersion: Long,
@@ -49,14 +49,14 @@
     fun covers(job: TrackedJob): Boolean {
         val isCovered = job.storedVersion in 1 until confirmedVersion ||
             confirmedAtMs > job.knownAtMs ||
-            Tables.intakePartitionsOf(job.id).any { partitions[it]?.isLaterThan(job) == true }
+            IntakeRows.partitionsOf(job.id).any { partitions[it]?.isLaterThan(job) == true }
         if (!isCovered) isWanted = true
         return isCovered
     }
 
     /** True if the job was stored after the takeover, so that no former leader has started it. */
     fun isNewerThanTerm(job: TrackedJob): Boolean =
-        job.storedVersion > maxOf(termRowVersion, Tables.intakePartitionsOf(job.id).maxOf(formerFenceVersion))
+        job.storedVersion > maxOf(termRowVersion, IntakeRows.partitionsOf(job.id).maxOf(formerFenceVersion))
 
     private class ConfirmedWrite(private val version: Long, private val sentAtMs: Long) {
         fun isLaterThan(job: TrackedJob): Boolean = job.storedVersion in 1 until version || sentAtMs > job.knownAtMs
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AdviceTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AdviceTest.kt
@@ -95,8 +95,8 @@
     }
 
     /**
-     * Guards against a backlog of steps without advice that makes planning rounds so long that the calls themselves wait:
-     * each round works out few calls of each length, and those that steps need before those that they could do without.
+     * Guards against a backlog of steps without advice that makes planning rounds so long that the calls themselves
+     * wait: each round works out few calls of each length, and the optional ones last.
      */
     @Test
     fun `a round collects no more calls than can be made soon`() {
@@ -115,7 +115,7 @@
         assertEquals(0, needs.all.size)
     }
 
-    /** Guards against a call that is made for a step which has found its workers or ended since the call was worked out. */
+    /** Guards against a call for a step that has found its workers or ended since the call was worked out. */
     @Test
     fun `a need is open while its step waits`() {
         val step = stepWithAdvice(decisionMs = 5.0)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/HeavyDayTest.kt
@@ -121,7 +121,7 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
-    /** Guards against places that lie idle for a whole advice call, because a gang renews its tickets once it has them. */
+    /** Guards against places that lie idle for a whole advice call because a gang renews its tickets too late. */
     @Test
     fun `a gang has its tickets when its places become free`() = runTest {
         val simulation = SchedulerSimulation(this, seed = 23, workerCount = 12)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -13,6 +13,7 @@
 import dev.bronzeshore.core.cluster.AdviceTicket
 import dev.bronzeshore.core.cluster.ClientAccounts
 import dev.bronzeshore.core.cluster.ClusterBounds
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.JobDescription
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.JobProgress
@@ -173,7 +174,7 @@
 
     fun cancel(id: String) = store.put(Tables.cancelRow(id), ByteArray(0))
 
-    fun phaseOf(id: String): JobPhase? = (store.valueOf(Tables.endRow(id)) ?: store.valueOf(Tables.progressRow(id)))
+    fun phaseOf(id: String): JobPhase? = (store.valueOf(IntakeRows.endRow(id)) ?: store.valueOf(Tables.progressRow(id)))
         ?.let { decodeRow(JobProgress.serializer(), it).getOrNull()?.phase }
 
     val jobIds: Set<String> get() = accepted.keys
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentPartitionTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SilentPartitionTest.kt
@@ -122,8 +122,8 @@
         delay(500)
         simulation.store.faults.silentPartitions["leader-1"] = LEADER_PARTITION
         delay(1_500)
-        // The former leader goes on while the new one, whose calls take long, puts its fences in place. The new one does
-        // not reach most of the workers at first, so that they still obey the former one.
+        // The former leader goes on while the new one, whose calls take long, puts its fences in place. The new one
+        // does not reach most of the workers at first, so that they still obey the former one.
         simulation.store.faults.latencyMsOf["leader-2"] = 300
         simulation.lead(pollDelayMs = { worker -> if (worker == "w5") 0 else 1_500 })
         delay(2_000)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/TakeoverTest.kt
@@ -1,6 +1,7 @@
 /** Takeovers: state that a new leader reads from workers and store, and a former leader that keeps running. */
 package dev.bronzeshore.server.cluster
 
+import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.standins.cluster.MAX_LEASE_MS
@@ -231,7 +232,7 @@
         simulation.lead()
         simulation.submit(JOB, step(replicas = 2, cores = 4, durationMs = 300))
         awaitUntil { simulation.phaseOf(JOB) == JobPhase.COMPLETED }
-        awaitUntil { simulation.store.rowsOf(Tables.INTAKE).all { Tables.isFence(it.id) } }
+        awaitUntil { simulation.store.rowsOf(Tables.INTAKE).all { IntakeRows.isFence(it.id) } }
         simulation.stopLeader()
         simulation.lead()
         simulation.submit(JOB, step(replicas = 2, cores = 4, durationMs = 300))
