Read the proof before the configuration in replies to peers, and pause without one

Cause: a reply to a peer took the configuration first and the age of the proof after it. A version that arrives in between would be proven to the peer but not passed on, so that the peer could go on serving a withdrawn key. And without a valid configuration the change feed, which then does not wait, was called without a pause by every process.

Change: the proof is read first; without a recent proof the feed is called ten times a second. ConfigWatcherTest has a case for the pause; the order of the two reads is not tested.

--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ConfigWatcher.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ConfigWatcher.kt
@@ -83,14 +83,22 @@
                     page.rows.forEach(::applyRow)
                     recordProof(sentAt)
                     feedVersion = maxOf(feedVersion, page.version)
+                    // Without a valid configuration a response proves nothing, and the next call would not wait either.
+                    if (!proof.isRecent) delay(RETRY_MS)
                 },
             )
         }
     }
 
-    /** The reply to a peer that cannot reach the store. */
-    fun replyFor(knownVersion: Long): ConfigReply =
-        ConfigReply(content.takeIf { (current?.version ?: 0) > knownVersion }, proof.ageMs)
+    /**
+     * The reply to a peer that cannot reach the store; called by any thread.
+     *
+     * The proof is read first. Otherwise a version that arrives in between would be proven but not passed on.
+     */
+    fun replyFor(knownVersion: Long): ConfigReply {
+        val provenAgeMs = proof.ageMs
+        return ConfigReply(content.takeIf { (current?.version ?: 0) > knownVersion }, provenAgeMs)
+    }
 
     private suspend fun readAll(): Boolean {
         val sentAt = proof.now()
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ConfigWatcherTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ConfigWatcherTest.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -111,6 +112,16 @@
         assertEquals(listOf(false, false, false), setup.proofs.map { it.isRecent })
     }
 
+    /** Guards against processes that call the store without a pause while there is no configuration to prove. */
+    @Test
+    fun `without a configuration the store is called ten times a second at most`() = runTest {
+        val setup = Setup(this)
+        setup.run()
+        delay(WITHDRAWAL_BOUND_MS)
+        val maxCalls = setup.watchers.size * WITHDRAWAL_BOUND_MS / 100
+        assertTrue((setup.store.calls["changes"] ?: 0) <= maxCalls, "${setup.store.calls}")
+    }
+
     private suspend fun Setup.awaitVersion(version: Long, withinMs: Long) =
         awaitUntil(withinMs) { versions == List(watchers.size) { version } }
 }
