--- a/review/stand-ins/Minion.java
+++ b/review/stand-ins/Minion.java
@@ -64,6 +64,9 @@
     private long lastEnd;
     private boolean up;
     private boolean draining;
+    private volatile boolean isDrainWanted;
+    private long drainCutMs;
+    private long drainLeavesAfterMs;
     private long cutFromStoreUntilMs;
     private boolean listed;
     private long lastHeartbeatMs;
@@ -145,15 +148,24 @@
         expiry.start();
     }
 
-    /** Reports `draining`, and leaves after the given time. */
-    void drain(long leavesAfterMs) {
-        String ownId;
+    /** Reports `draining` with the next status report, is cut off from the store right after it, and leaves later. */
+    synchronized void drain(long cutMs, long leavesAfterMs) {
+        drainCutMs = cutMs;
+        drainLeavesAfterMs = leavesAfterMs;
+        isDrainWanted = true;
+    }
+
+    private void reportDraining() {
+        long leavesAfterMs;
         synchronized (this) {
+            isDrainWanted = false;
             draining = true;
-            ownId = id;
+            heartbeat();
+            record.line("minion " + id + " reports draining; the store has accepted the report");
+            cutFromStoreUntilMs = Record.nowMs() + drainCutMs;
+            if (drainCutMs > 0) record.line("minion " + id + " is cut off from the store for " + drainCutMs + " ms");
+            leavesAfterMs = drainLeavesAfterMs;
         }
-        heartbeat();
-        record.line("minion " + ownId + " reports draining; the store has accepted the report");
         Thread end = new Thread(() -> {
             sleep(leavesAfterMs);
             leave("leaves");
@@ -162,12 +174,6 @@
         end.start();
     }
 
-    /** Partitions the minion from the store for some time; all others reach it and are reached. */
-    synchronized void cutFromStore(long ms) {
-        cutFromStoreUntilMs = Record.nowMs() + ms;
-        record.line("minion " + id + " is cut off from the store for " + ms + " ms");
-    }
-
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -262,7 +268,8 @@
             }
             if (Record.nowMs() >= heartbeatAtMs) {
                 heartbeatAtMs += HEARTBEAT_MS;
-                heartbeat();
+                if (isDrainWanted) reportDraining();
+                else heartbeat();
             }
         }
     }
