--- a/review/stand-ins/Deployment.java
+++ b/review/stand-ins/Deployment.java
@@ -28,6 +28,9 @@
         System.setProperty("sun.net.httpserver.nodelay", "true");
     }
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 10_000;
+    private static int nextPort = (int) (ProcessHandle.current().pid() * 41 % PORTS);
     private static final int READY_TIMEOUT_MS = 30_000;
     private static final int ANSWER_TIMEOUT_MS = 3_000;
 
@@ -134,10 +137,17 @@
         return String.format("%016x", random.nextLong());
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** A free port below those that the system gives to outgoing connections. */
+    private static synchronized int freePort() throws IOException {
+        for (int attempt = 0; attempt < PORTS; attempt++) {
+            int port = FIRST_PORT + nextPort++ % PORTS;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                // The next one may be free.
+            }
         }
+        throw new IOException("no free port");
     }
 
     /** The command of the deploy file. */
