Log runs that a worker has beside another run of their task

Added: the event run_duplicated with a counter, `reported` in run_lost, `listed` and `reported_ms_ago` in worker_gone. No decision changes.

SilentWorkerTest, TakeoverTest and SchedulerSimulationTest pass.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -9,6 +9,7 @@
 import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.TaskEnd
+import dev.bronzeshore.core.cluster.TaskRun
 
 /** Pause before a task starts again after a run that failed, was lost or was stopped; avoids a busy loop. */
 private const val RESTART_PAUSE_MS = 20L
@@ -77,11 +78,34 @@
     /** Processes the end of a run that has no placement here; it counts unless a later run has replaced it. */
     fun endedWithoutPlacement(worker: TrackedWorker, end: TaskEnd) {
         val task = jobs.task(end.run.task) ?: return
+        if (end.kind == EndKind.DONE) reportDuplicate(task, end.run, worker, hasEnded = true)
         if (task.placement != null || end.run.run < task.lastRun) return recordEarlierFailure(task, end)
         task.lastRun = end.run.run
         recordEnd(task, end, worker)
     }
 
+    /**
+     * Makes it visible that [task] has run twice: [run] is on [worker], or [hasEnded] there as done, although the task
+     * has another run or is done. An end of a task that is done may be its only one, reported again after a takeover.
+     */
+    fun reportDuplicate(task: TrackedTask, run: TaskRun, worker: TrackedWorker, hasEnded: Boolean) {
+        val other = task.placement
+        val isDuplicate = other != null || task.isDone && !hasEnded && !task.step.description.isGang
+        if (!task.step.job.isOpen || !isDuplicate) return
+        context.log.event(
+            "run_duplicated",
+            "task" to run.task,
+            "run" to run.run,
+            "worker" to worker.id,
+            "worker_started_at_ms" to worker.incarnation.startedAtMs,
+            "other_run" to other?.run?.run,
+            "other_worker" to other?.worker?.id,
+            "other_age_ms" to other?.let { context.clock() - it.orderedAtMs },
+            "done" to task.isDone,
+        )
+        context.metrics.losses.duplicateRun()
+    }
+
     /** A failure of an earlier run counts as well: after a takeover, reports of several workers arrive in any order. */
     private fun recordEarlierFailure(task: TrackedTask, end: TaskEnd) {
         if (end.kind != EndKind.FAILED || !task.step.job.isOpen || task.isDone) return
@@ -103,6 +127,7 @@
             "reason" to reason,
             "age_ms" to context.clock() - placement.orderedAtMs,
             "proven_ms" to placement.provenMs,
+            "reported" to placement.isReported,
         )
         context.metrics.losses.runLost()
         restartLater(placement.task)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -25,7 +25,7 @@
     fun handle(worker: TrackedWorker, report: HoldAnswer.Report, requestedAtMs: Long) {
         val now = context.clock()
         worker.clock.observe(report.workerClockMs, now)
-        worker.recordAnswer(report.workerClockMs)
+        worker.recordReport(now, report.workerClockMs)
         if (!worker.isReachable) {
             crashes.withdrawPresumption(worker)
             context.wakeJournal()
@@ -81,6 +81,7 @@
     private fun update(placement: Placement, running: RunningTask, evidence: RunEvidence) {
         val now = evidence.receivedAtMs
         placement.recordRunning(evidence.workerClockMs)
+        placement.isReported = true
         if (placement.state == PlacementState.ORDERED) placement.confirmStart(now, evidence.workerClockMs)
         if (placement.progress.observe(running.percent, evidence)) observeSpeed(placement, now)
         running.checkpoint?.let { placement.task.checkpoint = it }
@@ -106,6 +107,7 @@
         val placement = Placement(task, worker, running.run, evidence.receivedAtMs)
         placement.confirmStart(evidence.receivedAtMs, evidence.workerClockMs)
         placement.isAdopted = true
+        placement.isReported = true
         placement.progress.observe(running.percent, evidence)
         task.placement = placement
         task.lastRun = running.run.run
@@ -119,7 +121,9 @@
 
     private fun addStray(worker: TrackedWorker, run: TaskRun) {
         // The demand of a forgotten job is unknown: nothing else starts on the worker until the run has ended.
-        val step = context.jobRegistry.task(run.task)?.step
+        val task = context.jobRegistry.task(run.task)
+        if (task != null) lifecycle.reportDuplicate(task, run, worker, hasEnded = false)
+        val step = task?.step
         val stray = step?.let { StrayRun(it.taskDemand, it.job.accepted.account, it.accountDemand) }
         worker.addStray(run, stray ?: StrayRun(worker.entry.capacity))
         if (context.jobRegistry.isSetAside(run.task.jobId)) return
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -9,6 +9,8 @@
     public val workerGone: (wasDraining: Boolean) -> Unit = {},
     /** A task was given up because it crashed its workers. */
     public val crashingTask: () -> Unit = {},
+    /** A worker has a run whose task also has a run elsewhere, or is done. */
+    public val duplicateRun: () -> Unit = {},
 )
 
 public class SchedulerMetrics(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -41,6 +41,9 @@
 internal class Placement(val task: TrackedTask, val worker: TrackedWorker, val run: TaskRun, val orderedAtMs: Long) {
     var state: PlacementState = PlacementState.ORDERED
 
+    /** A report of this incarnation has listed the run; the answer to a start does not tell the incarnation. */
+    var isReported: Boolean = false
+
     /** Started by a former leader, so its start time is not known. */
     var isAdopted: Boolean = false
     private val startedFromCheckpoint = task.checkpoint != null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -39,6 +39,10 @@
     var unreachableSinceMs: Long? = null
         private set
 
+    /** Monotonic time of the last report of this incarnation; null before the first one. */
+    var reportedAtMs: Long? = null
+        private set
+
     /** Time of the worker's clock in its last answer: no run had crashed the worker by then. */
     var lastAnswerWorkerMs: Long = Long.MIN_VALUE
         private set
@@ -91,6 +95,12 @@
     /** The gang of the last reservation, which the next planning round renews or drops. */
     fun takeReservation(): TrackedStep? = reservedFor.also { reservedFor = null }
 
+    /** Notes a report of this incarnation that arrived at [nowMs], with the time of the worker's clock. */
+    fun recordReport(nowMs: Long, workerMs: Long) {
+        reportedAtMs = nowMs
+        recordAnswer(workerMs)
+    }
+
     /** Notes an answer to any request, with the time of the worker's clock. */
     fun recordAnswer(workerMs: Long) {
         lastAnswerWorkerMs = maxOf(lastAnswerWorkerMs, workerMs)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -192,6 +192,8 @@
             "address" to worker.entry.address,
             "reason" to reason,
             "draining" to worker.entry.isDraining,
+            "listed" to worker.isListed,
+            "reported_ms_ago" to worker.reportedAtMs?.let { context.clock() - it },
             "unreachable_for_ms" to worker.unreachableSinceMs?.let { context.clock() - it },
             "successor" to context.workerPool.successorOf(worker)?.id,
             "runs" to worker.placements.size,
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -23,6 +23,8 @@
     private val runsLost = counter("bronzeshore_runs_lost_total", "Runs that ended without a reported end.")
     private val crashingTasks =
         counter("bronzeshore_crashing_tasks_total", "Tasks given up because they crashed their workers.")
+    private val duplicateRuns =
+        counter("bronzeshore_duplicate_runs_total", "Runs of tasks that also ran elsewhere or were done.")
     private val workersGone =
         counter("bronzeshore_workers_gone_total", "Worker incarnations that ended.", "draining")
     private val workerPolls = counter("bronzeshore_worker_looks_total", "Reports asked of workers.")
@@ -59,6 +61,7 @@
             runLost = { runsLost.inc() },
             workerGone = { workersGone.labelValues(it.toString()).inc() },
             crashingTask = { crashingTasks.inc() },
+            duplicateRun = { duplicateRuns.inc() },
         ),
         workerPoll = { workerPolls.inc() },
         journalWrite = { outcome, ms -> journal.labelValues(outcome).observe(ms / MS_PER_SECOND) },
