--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
@@ -31,6 +31,9 @@
     /** Calls to a worker that a task has crashed get no answer, instead of being refused at once. */
     public var isCrashSilent: Boolean = false
 
+    /** Polls that wait at a worker which restarts time out, instead of breaking at once. */
+    public var isRestartSilent: Boolean = false
+
     /** Workers on which no run advances. */
     public val stalled: MutableSet<String> = HashSet()
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -22,6 +22,9 @@
 private const val CALL_TIMEOUT_MS = 300L
 private const val POLL_PERIOD_MS = 10L
 
+/** Time after the end of its wait at which a poll without a response fails. */
+private const val POLL_TIMEOUT_MARGIN_MS = 700L
+
 /** Time after which a worker that a task has crashed is back, and after which the entry of its old id expires. */
 private const val REPLACED_AFTER_MS = 3_000L
 private const val ENTRY_EXPIRES_AFTER_MS = 4_300L
@@ -51,6 +54,14 @@
 
     /** Starts a worker, or a new incarnation of one that has crashed. */
     public fun boot(workerId: String, address: String = "$workerId:1") {
+        start(workerId, address)
+        announce(workerId)
+    }
+
+    /** Writes the worker's entry into the directory. */
+    public fun announce(workerId: String): Unit = onChange(WorkerChange(workerId, workers.getValue(workerId).entry))
+
+    private fun start(workerId: String, address: String) {
         val entry = WorkerEntry(
             WorkerIncarnation(workerId, clock() + 1),
             service,
@@ -62,7 +73,6 @@
             null,
         )
         workers[workerId] = WorkerModel(entry, clock, faults, checker)
-        onChange(WorkerChange(workerId, entry))
     }
 
     /** Announces that a worker will leave; it keeps its runs. */
@@ -83,6 +93,13 @@
         workers.remove(workerId)?.crash()
     }
 
+    /** Ends the incarnation of a worker and starts the next one, unannounced, under the same id and address at once. */
+    public fun restart(workerId: String) {
+        val address = workers.getValue(workerId).entry.address
+        crash(workerId)
+        start(workerId, address)
+    }
+
     /** Ends the incarnation of a worker; another one with a new id takes its address later. */
     public fun crashAndReplace(workerId: String) {
         val model = workers.remove(workerId) ?: return
@@ -146,8 +163,9 @@
         return answer
     }
 
-    private fun hasSuccessor(worker: WorkerEntry): Boolean =
-        workers.values.any { it.entry.address == worker.address && it.entry.incarnation != worker.incarnation }
+    /** Requests name the worker by its id, which the next incarnation may have as well. */
+    private fun hasSuccessor(worker: WorkerEntry): Boolean = workers.values.map { it.entry }
+        .any { it.address == worker.address && it.incarnation.workerId != worker.incarnation.workerId }
 
     private suspend fun startFailure(worker: WorkerEntry): StartAnswer =
         if (worker.incarnation.workerId in refusing) StartAnswer(StartResult.NOT_SENT) else startTimeout()
@@ -168,8 +186,10 @@
         delay(CALL_LATENCY_MS)
         var waitedMs = 0L
         val initialAnswer = answerNow(worker, request) ?: return holdFailure(worker)
+        val asked = workers[worker.incarnation.workerId]
         while (initialAnswer is HoldAnswer.Report && waitedMs < request.waitMs) {
             val model = reachableWorker(worker) ?: return holdFailure(worker)
+            if (model !== asked) return brokenPoll(request.waitMs - waitedMs)
             if (model.hasUnacknowledgedEnds) return model.hold(request)
             delay(POLL_PERIOD_MS)
             waitedMs += POLL_PERIOD_MS
@@ -177,6 +197,11 @@
         return answerNow(worker, request) ?: holdFailure(worker)
     }
 
+    private suspend fun brokenPoll(remainingWaitMs: Long): HoldAnswer {
+        if (faults.isRestartSilent) delay(remainingWaitMs + POLL_TIMEOUT_MARGIN_MS)
+        return HoldAnswer.Unreachable("the worker has restarted")
+    }
+
     private fun answerNow(worker: WorkerEntry, request: HoldRequest): HoldAnswer? =
         if (hasSuccessor(worker)) HoldAnswer.OtherWorker else reachableWorker(worker)?.hold(request)
 
