Ask the next incarnation of a worker before its tasks start elsewhere

Cause: requests name a worker by its id, which it keeps when it restarts. Starts for the former incarnation, in flight or sent while the leader's poll hung on a dead connection, ran on the next one; when the leader learned of it, it took all runs for lost and started them elsewhere. The former one's cursor, repeated with each poll and probe, made the next one forget ends, so that their tasks ran again.

A run that no report has listed moves to the next incarnation under the same id: its report tells whether it has the run, and a run that it does not list is stopped there before the task starts again. If the former one had not answered this leader, recovery waits for the next one. Such a run on a silent worker is given up only when also a lease granted by the next incarnation is over. An end is acknowledged once, right after a report of its incarnation, and never by a probe. A probe that the next incarnation answers makes it known at once. A crash is counted against a moved task only if its run is not found.

Not covered: a worker that restarts between its report and the acknowledgement of that report's ends.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
@@ -43,6 +43,12 @@
         }
     }
 
+    /** The worker restarted after it had been sent the start, and the run is not on its next incarnation. */
+    fun handleLostStart(placement: Placement) {
+        val crash = CrashedRun(placement.run.run, CrashRole.SUSPECT, isCertain = true)
+        record(placement.task, crash, isOnlySuspect = false)
+    }
+
     private fun record(task: TrackedTask, crash: CrashedRun, isOnlySuspect: Boolean) {
         task.crashes.record(crash)
         context.markChanged(task.step.job)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -133,6 +133,27 @@
         restartLater(placement.task)
     }
 
+    /**
+     * The worker of [placement] has restarted as [successor], which may have carried out the start. Its report tells; a
+     * run that it does not list is stopped before the task starts again, as the start may still be on its way.
+     */
+    fun moveTo(successor: TrackedWorker, placement: Placement) {
+        val isStopping = placement.state == PlacementState.STOPPING || !placement.task.step.job.isOpen
+        placement.worker.remove(placement)
+        val moved = Placement(placement.task, successor, placement.run, placement.orderedAtMs)
+        moved.isMoved = true
+        placement.task.placement = moved
+        successor.add(moved)
+        context.log.event(
+            "run_moved",
+            "task" to placement.run.task,
+            "run" to placement.run.run,
+            "worker" to successor.id,
+            "worker_started_at_ms" to successor.incarnation.startedAtMs,
+        )
+        if (isStopping) stopper.stop(moved, "the task is not wanted any more")
+    }
+
     /** Ends the job of a task that cannot run. */
     fun giveUp(task: TrackedTask, reason: String) = close(task.step.job, JobPhase.FAILED, reason)
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -134,12 +134,23 @@
     private fun removeMissing(worker: TrackedWorker, report: HoldAnswer.Report, requestedAtMs: Long) {
         val reported = report.running.mapTo(HashSet()) { it.run }
         report.ends.mapTo(reported) { it.run }
-        for (placement in worker.placements.filter { it.run !in reported && isLost(it, report, requestedAtMs) }) {
-            lifecycle.lost(placement, "missing from a report of the worker")
+        for (placement in worker.placements.filter { it.run !in reported }) {
+            when {
+                placement.isUnconfirmedMove -> stopper.stop(placement, "its start was sent before the worker restarted")
+
+                isLost(placement, report, requestedAtMs) -> handleMissing(placement)
+            }
         }
         for (run in worker.strayRuns.filter { it !in reported }) worker.removeStray(run)
     }
 
+    private fun handleMissing(placement: Placement) {
+        if (placement.isMoved && !placement.isReported) crashes.handleLostStart(placement)
+        lifecycle.lost(placement, "missing from a report of the worker")
+    }
+
+    private val Placement.isUnconfirmedMove: Boolean get() = isMoved && state == PlacementState.ORDERED
+
     private fun isLost(placement: Placement, report: HoldAnswer.Report, requestedAtMs: Long): Boolean {
         val confirmedAtMs = placement.confirmedAtMs
         return when {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -12,7 +12,7 @@
 import dev.bronzeshore.core.cluster.TaskRun
 
 /** A worker handles a start request within milliseconds; the time covers two lost responses and clock error. */
-private const val START_VALIDITY_MS = 1_000L
+internal const val START_VALIDITY_MS = 1_000L
 private const val MAX_SEND_ATTEMPTS = 3
 
 /** Pause before a task whose start was refused is placed again. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -44,6 +44,9 @@
     /** A report of this incarnation has listed the run; the answer to a start does not tell the incarnation. */
     var isReported: Boolean = false
 
+    /** The start was sent to the former incarnation of the worker, so it is not known when it expires on this one. */
+    var isMoved: Boolean = false
+
     /** Started by a former leader, so its start time is not known. */
     var isAdopted: Boolean = false
     private val startedFromCheckpoint = task.checkpoint != null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -26,10 +26,12 @@
     private val startedAtMs = context.clock()
     private var directoryFailedAtMs = Long.MIN_VALUE / 2
 
+    /** Longest time from the grant of a lease until the runs under it have ended. */
+    private val leaseTimeMs =
+        (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs + LEASE_MARGIN_MS
+
     /** Monotonic time after which all leases that a former leader granted have expired. */
-    private val formerLeasesUntilMs =
-        startedAtMs + (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs +
-            LEASE_MARGIN_MS
+    private val formerLeasesUntilMs = startedAtMs + leaseTimeMs
 
     /** Workers that a former leader may have used, with the jobs that may run there; null stands for any job. */
     private val formerWorkers = HashMap<TrackedWorker, Set<String>?>()
@@ -96,11 +98,12 @@
     fun apply(change: WorkerChange) {
         val entry = change.entry
         if (entry == null) return context.workerPool.withId(change.workerId).forEach { unlist(it) }
-        for (older in context.workerPool.withId(change.workerId)) {
-            if (older.incarnation.startedAtMs > entry.incarnation.startedAtMs) return
-            if (older.incarnation.startedAtMs < entry.incarnation.startedAtMs) markGone(older, "the worker restarted")
-        }
-        val known = context.workerPool.find(entry.incarnation) ?: return add(entry).let { }
+        val others = context.workerPool.withId(change.workerId)
+        if (others.any { it.incarnation.startedAtMs > entry.incarnation.startedAtMs }) return
+        val known = context.workerPool.find(entry.incarnation)
+        val current = known ?: add(entry)
+        others.filter { it !== current }.forEach { replace(it, current, "the worker restarted") }
+        if (known == null) return
         if (known.entry.isDraining != entry.isDraining) {
             context.log.event("worker_draining", "worker" to known.id, "draining" to entry.isDraining)
         }
@@ -159,8 +162,20 @@
         if (worker.isGone) return
         if (startedAtMs == null) return markGone(worker, "another worker answers at its address")
         val entry = worker.entry.copy(incarnation = WorkerIncarnation(worker.id, startedAtMs), isDraining = false)
-        markGone(worker, "the worker reported a later start time")
-        if (context.workerPool.find(entry.incarnation) == null) add(entry)
+        val successor = context.workerPool.find(entry.incarnation) ?: add(entry)
+        replace(worker, successor, "the worker reported a later start time")
+    }
+
+    /**
+     * [former] has ended, and [successor] has its id. Requests name a worker by its id alone, so [successor] may have
+     * carried out starts for [former], those of this leader and those of former leaders: these runs are not lost.
+     */
+    private fun replace(former: TrackedWorker, successor: TrackedWorker, reason: String) {
+        if (former in formerWorkers && successor !in formerWorkers && !former.isContacted) {
+            formerWorkers[successor] = formerWorkers[former]
+        }
+        former.placements.filterNot { it.isReported }.forEach { lifecycle.moveTo(successor, it) }
+        markGone(former, reason)
     }
 
     /** Gives up the runs on unreachable workers whose leases have certainly expired, and removes unlisted workers. */
@@ -174,17 +189,20 @@
                 now >= formerLeasesUntilMs
             }
             if (!isOver) continue
-            if (!worker.isListed) {
+            val (open, expired) = worker.placements.partition { !it.isReported && now < it.leaseOverAtMs }
+            if (!worker.isListed && open.isEmpty()) {
                 markGone(worker, "the worker is not listed and does not answer")
                 continue
             }
-            worker.placements.toList().forEach {
-                lifecycle.lost(it, "its lease has expired and its worker does not answer")
-            }
+            expired.forEach { lifecycle.lost(it, "its lease has expired and its worker does not answer") }
             worker.removeAllStrays()
         }
     }
 
+    /** Time by which the run has ended for certain if the next incarnation of the worker has carried out its start. */
+    private val Placement.leaseOverAtMs: Long
+        get() = orderedAtMs + START_VALIDITY_MS + leaseTimeMs
+
     private fun markGone(worker: TrackedWorker, reason: String) {
         worker.isGone = true
         context.log.event(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -36,15 +36,24 @@
 ) {
     private var failures = 0
 
+    /** Last end that a poll which this incarnation answered has acknowledged. */
+    private var confirmedEnd = 0L
+
     /** Polls at once, in parallel to a poll that may be waiting; used when a request to the worker failed. */
     suspend fun probe() {
         val requestedAtMs = context.clock()
         context.metrics.workerPoll()
-        when (val answer = context.calls.hold(worker.entry, holdRequestAt(requestedAtMs).copy(waitMs = 0))) {
-            is HoldAnswer.Report -> if (answer.startedAtMs == worker.incarnation.startedAtMs &&
-                jobLookup.ensureJobsKnown(answer)
-            ) {
-                reports.handle(worker, answer, requestedAtMs)
+        when (
+            val answer = context.calls.hold(
+                worker.entry,
+                holdRequestAt(requestedAtMs).copy(waitMs = 0, acknowledgedEnd = 0),
+            )
+        ) {
+            is HoldAnswer.Report -> when {
+                isFromSuccessor(answer) -> onSuccessor(worker, answer.startedAtMs)
+
+                answer.startedAtMs == worker.incarnation.startedAtMs && jobLookup.ensureJobsKnown(answer) ->
+                    reports.handle(worker, answer, requestedAtMs)
             }
 
             else -> markUnreachable()
@@ -65,8 +74,9 @@
     private suspend fun pollOnce() {
         val requestedAtMs = context.clock()
         context.metrics.workerPoll()
-        when (val answer = context.calls.hold(worker.entry, holdRequestAt(requestedAtMs))) {
-            is HoldAnswer.Report -> handleReport(answer, requestedAtMs)
+        val request = holdRequestAt(requestedAtMs)
+        when (val answer = context.calls.hold(worker.entry, request)) {
+            is HoldAnswer.Report -> handleReport(answer, requestedAtMs, request.acknowledgedEnd)
 
             is HoldAnswer.Fenced -> {
                 context.log.event("fenced", "worker" to worker.id, "term" to context.term)
@@ -87,24 +97,38 @@
         val leaseUntil = if (isGranted) worker.clock.nowOnWorker(now) + context.bounds.maxLeaseMs else null
         leaseUntil?.let { worker.clock.extendLease(it) }
         val waitMs = if (worker.isContacted && worker.unsavedEnds.isEmpty()) POLL_WAIT_MS else 0
-        return HoldRequest(context.term, worker.acknowledgedEnd, leaseUntil, waitMs)
+        return HoldRequest(context.term, newlyAcknowledgedEnd(), leaseUntil, waitMs)
     }
 
-    private suspend fun handleReport(report: HoldAnswer.Report, requestedAtMs: Long) {
+    /**
+     * The end to acknowledge, or 0 if none is new. Another incarnation under the same id would forget ends of its own, so
+     * an end is acknowledged only right after a report of this one, and once.
+     */
+    private fun newlyAcknowledgedEnd(): Long =
+        worker.acknowledgedEnd.takeIf { it > confirmedEnd && worker.isReachable && !worker.isSuspect } ?: 0
+
+    private suspend fun handleReport(report: HoldAnswer.Report, requestedAtMs: Long, acknowledgedEnd: Long) {
         val startedAtMs = report.startedAtMs
-        if (startedAtMs != null &&
-            worker.incarnation.startedAtMs != 0L &&
-            startedAtMs != worker.incarnation.startedAtMs
-        ) {
-            if (startedAtMs > worker.incarnation.startedAtMs) onSuccessor(worker, startedAtMs)
+        if (isFromSuccessor(report)) {
+            onSuccessor(worker, startedAtMs)
+            return delay(RETRY_MS)
+        }
+        if (startedAtMs != null && isStartTimeKnown && startedAtMs != worker.incarnation.startedAtMs) {
             return delay(RETRY_MS)
         }
         failures = 0
+        confirmedEnd = maxOf(confirmedEnd, acknowledgedEnd)
         if (!jobLookup.ensureJobsKnown(report)) return delay(LOOKUP_PAUSE_MS)
         reports.handle(worker, report, requestedAtMs)
         if (worker.unsavedEnds.isNotEmpty()) delay(UNSAVED_END_PAUSE_MS)
     }
 
+    private val isStartTimeKnown: Boolean get() = worker.incarnation.startedAtMs != 0L
+
+    /** The next incarnation of the worker answers, which has the same id and address. */
+    private fun isFromSuccessor(report: HoldAnswer.Report): Boolean =
+        isStartTimeKnown && report.startedAtMs?.let { it > worker.incarnation.startedAtMs } ?: false
+
     private fun markUnreachable() {
         if (!worker.isReachable) return
         worker.markUnreachable(context.clock())
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -132,8 +132,10 @@
         start = ::start,
         stop = ::stop,
         hold = { worker, request ->
+            val asked = workers[worker.incarnation.workerId]
             delay(pollDelayMs(worker.incarnation.workerId))
-            hold(worker, request)
+            val hasRestarted = asked != null && workers[worker.incarnation.workerId].let { it != null && it !== asked }
+            if (hasRestarted) brokenPoll(request.waitMs) else hold(worker, request)
         },
     )
 
