--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -21,8 +21,12 @@
     private val trials: CrashTrials,
     private val crashes: CrashAttribution,
 ) {
-    /** Processes a report that was requested at [requestedAtMs]. */
+    /**
+     * Processes a report that was requested at [requestedAtMs]. One of a removed worker is left aside, as nobody polls it
+     * any more; if it is listed again, its next report tells the same.
+     */
     fun handle(worker: TrackedWorker, report: HoldAnswer.Report, requestedAtMs: Long) {
+        if (worker.isGone) return
         val now = context.clock()
         worker.clock.observe(report.workerClockMs, now)
         worker.recordReport(now, report.workerClockMs)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/UnlistedWorkerTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/UnlistedWorkerTest.kt
@@ -11,6 +11,8 @@
 import org.junit.jupiter.params.provider.MethodSource
 
 private const val JOB = "00000000000000aa"
+private const val OTHER_JOB = "00000000000000bb"
+private const val LATE_REPORT_MS = 2_000L
 private const val DURATION_MS = 5_000L
 private const val STEP_MS = 500L
 private const val OUTAGE_MS = 1_000L
@@ -54,6 +56,33 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
+    /**
+     * Guards against a job that never ends: a poll returned after its worker had been removed, and the run that it
+     * listed was adopted on the removed worker, whose end nobody would ever hear of.
+     */
+    @Test
+    fun `a report of a worker that has been removed is left aside`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 53, workerCount = 1)
+        var pollDelayMs = 0L
+        simulation.lead(pollDelayMs = { if (it == "w0") pollDelayMs else 0 })
+        simulation.submit(JOB, step(replicas = 1, cores = 8, durationMs = 2 * DURATION_MS))
+        awaitUntil { simulation.workers.checker.starts == 1 }
+        simulation.workers.boot("w1")
+        simulation.workers.drain("w0")
+        simulation.submit(OTHER_JOB, step(replicas = 1, cores = 16, durationMs = 2 * DURATION_MS))
+        awaitUntil { simulation.workers.checker.starts == 2 }
+        simulation.store.faults.isDown = true
+        simulation.workers.faults.unreachable += "w0"
+        simulation.unlist("w0")
+        delay(OUTAGE_MS)
+        simulation.store.faults.isDown = false
+        pollDelayMs = LATE_REPORT_MS
+        delay(STEP_MS)
+        simulation.workers.faults.unreachable.clear()
+        assertTrue(simulation.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 6 * DURATION_MS))
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
+
     companion object {
         @JvmStatic
         fun missingEntries(): List<Any> = listOf(
