scheduler: a partial report does not count as all that a worker has

What callers saw: tasks ran twice after a takeover.

Cause: the first report of any kind set TrackedWorker.isContacted, and recovery took the worker's former runs for known. A report lists at most 500 ends; the others follow once these are acknowledged, that is, stored.

Change: isContacted still says that the worker refuses former leaders. hasReportedAll says that a whole report had room for more ends; recovery, the limits of accounts and the jobs in the stored roster use it. A worker with further ends delays the jobs that may run there until it has listed them all, also if an outage of the store takes longer than the former leases, since this leader renews the leases. A worker that never sends a whole report delays them until the former leases have expired, as before. Jobs stored after the takeover do not wait.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -2,8 +2,9 @@
  * Restores the leader's state at the start of a term.
  *
  * Starts are not stored, so a task may already run on any worker that a former leader used. A task starts only once
- * each of these workers has reported under this leader's fencing token, or their leases have expired. Jobs that were
- * stored after the takeover need not wait: a former leader starts only jobs for which its term has been confirmed.
+ * each of these workers has listed all its runs and ends under this leader's fencing token, or their leases have
+ * expired. Jobs that were stored after the takeover need not wait: a former leader starts only jobs for which its term
+ * has been confirmed.
  */
 package dev.bronzeshore.scheduler
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -39,8 +39,12 @@
                 context.log.event("report_malformed", "worker" to worker.id, "running" to report.running.size)
             }
 
-            report.ends.size < MAX_ENDS_IN_REPORT -> removeMissing(worker, report, requestedAtMs)
+            report.ends.size < MAX_ENDS_IN_REPORT -> {
+                removeMissing(worker, report, requestedAtMs)
+                worker.hasReportedAll = true
+            }
         }
+        worker.hasFurtherEnds = report.ends.size >= MAX_ENDS_IN_REPORT
         if (!worker.isContacted) {
             worker.isContacted = true
             context.log.event(
@@ -48,6 +52,7 @@
                 "worker" to worker.id,
                 "running" to report.running.size,
                 "ends" to report.ends.size,
+                "reported_all" to worker.hasReportedAll,
             )
         }
         context.wakePlanner()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -28,6 +28,12 @@
 
     /** The worker has seen this leader's fencing token, so it rejects requests of former leaders. */
     var isContacted: Boolean = false
+
+    /** A report under this leader's fencing token was whole and had room for more ends: it told of all former runs. */
+    var hasReportedAll: Boolean = false
+
+    /** The last report was full of ends; the worker lists further ones once these are acknowledged. */
+    var hasFurtherEnds: Boolean = false
     var isListed: Boolean = true
 
     /** Monotonic time at which a draining worker whose entry is missing counts as gone; null if that is not open. */
@@ -120,13 +126,13 @@
         if (!isReachable) return
         isReachable = false
         unreachableSinceMs = nowMs
-        if (isContacted) jobsWhenUnreachable = placedJobs()
+        if (hasReportedAll) jobsWhenUnreachable = placedJobs()
     }
 
     /** Takes over the listed entry; on a draining worker nothing new starts, so its jobs are fixed from then on. */
     fun update(listed: WorkerEntry) {
         if (!listed.isDraining) jobsWhenDraining = null
-        if (listed.isDraining && isContacted && jobsWhenDraining == null) jobsWhenDraining = placedJobs()
+        if (listed.isDraining && hasReportedAll && jobsWhenDraining == null) jobsWhenDraining = placedJobs()
         if (entry.isDraining && !listed.isDraining) isOnRoster = false
         entry = listed
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -38,13 +38,19 @@
     var isRosterUnknown = false
 
     private val unreportedWorkers: List<TrackedWorker>
-        get() = if (context.clock() >= formerLeasesUntilMs) {
-            emptyList()
-        } else {
-            formerWorkers.keys.filter { !it.isContacted && !it.isGone }
-        }
+        get() = context.clock().let { now -> formerWorkers.keys.filter { mayHaveUnknownRuns(it, now) } }
+
+    /** Leases of a worker with further ends do not expire with those of the former leader: this leader renews them. */
+    private fun mayHaveUnknownRuns(worker: TrackedWorker, now: Long): Boolean = when {
+        worker.isGone || worker.hasReportedAll -> false
+        now < formerLeasesUntilMs -> true
+        else -> worker.hasFurtherEnds && (worker.isReachable || !isLeaseOver(worker, now))
+    }
+
+    private fun isLeaseOver(worker: TrackedWorker, now: Long) =
+        worker.clock.isLeaseOver(now - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
 
-    /** True while runs that a former leader started may exist on workers that have not reported yet. */
+    /** True while runs that a former leader started may exist on workers that have not reported all of them yet. */
     val hasUnknownRuns: Boolean get() = hasUnknownWorkers || unreportedWorkers.isNotEmpty()
 
     /** Capacity of the workers on which such runs may exist; null if it is not known of all of them. */
@@ -168,7 +174,7 @@
         removeDeparted(now)
         for (worker in context.workerPool.workers.toList().filter { !it.isReachable || !it.isContacted }) {
             val isOver = if (worker.isContacted) {
-                worker.clock.isLeaseOver(now - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
+                isLeaseOver(worker, now)
             } else {
                 now >= formerLeasesUntilMs
             }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -84,7 +84,8 @@
         val isGranted = worker.clock.isKnown && worker.isReachable
         val leaseUntil = if (isGranted) worker.clock.nowOnWorker(now) + context.bounds.maxLeaseMs else null
         leaseUntil?.let { worker.clock.extendLease(it) }
-        val waitMs = if (worker.isContacted && worker.unsavedEnds.isEmpty()) POLL_WAIT_MS else 0
+        val mayWait = worker.isContacted && !worker.hasFurtherEnds && worker.unsavedEnds.isEmpty()
+        val waitMs = if (mayWait) POLL_WAIT_MS else 0
         return HoldRequest(context.term, worker.acknowledgedEnd, leaseUntil, waitMs)
     }
 
