scheduler: leases count as expired only if the term was held after their expiry

What callers saw: a task ran on two workers at the same time. Both runs were started by a leader that reached neither the store nor the worker of the first run; the next leader went on renewing that worker's leases.

Cause: WorkerRegistry took leases for expired by the clock alone, for its own leases (expireLeases) and for those of former leaders (recovery). Only the start of new jobs asked whether the term was still held.

The next leader polls workers only after its term and all its fences are stored, so it had renewed nothing by then. Runs, stray runs and the end of unlisted workers wait alike. A leader without the store gives up no run; a successor or a report still does.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
@@ -51,7 +51,8 @@
         val ended = context.jobRegistry.allJobs.filter { !it.isOpen && !it.savedPhase.isEnded }
         val unconfirmed = context.jobRegistry.openJobs.filterNot { context.confirmation.covers(it) }
         val endedByPartition = ended.groupBy { partitionOf(it) }
-        for (partition in endedByPartition.keys + unconfirmed.map { partitionOf(it) }) {
+        val confirming = if (context.confirmation.isExpiryOpen) anyPartition() else null
+        for (partition in endedByPartition.keys + unconfirmed.map { partitionOf(it) } + listOfNotNull(confirming)) {
             if (!partitionsInFlight.add(partition)) continue
             val jobs = endedByPartition[partition].orEmpty().take(MAX_ENDS_IN_WRITE)
             context.launchGuarded("partition write") {
@@ -66,10 +67,14 @@
 
     private fun partitionOf(job: TrackedJob): String {
         val partitions = IntakeRows.partitionsOf(job.id)
-        return partitions.firstOrNull { (avoidedUntilMs[it] ?: Long.MIN_VALUE) <= context.clock() }
-            ?: partitions.first()
+        return partitions.firstOrNull { !isAvoided(it) } ?: partitions.first()
     }
 
+    /** A partition that may respond, one with a write in flight first. */
+    private fun anyPartition(): String? = (partitionsInFlight + Tables.INTAKE_PARTITIONS).firstOrNull { !isAvoided(it) }
+
+    private fun isAvoided(partition: String) = (avoidedUntilMs[partition] ?: Long.MIN_VALUE) > context.clock()
+
     private suspend fun write(partition: String, ended: List<TrackedJob>) {
         val sentAtMs = context.clock()
         val phases = ended.associateWith { it.phase }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
@@ -1,16 +1,23 @@
 /**
- * Tells which jobs this leader may start, by what it knows for certain about its term.
+ * Tells which jobs this leader may start, and which leases have expired, by what it knows for certain about its term.
  *
  * A leader that has been replaced without noticing goes on until a write of its own is refused. It must not start a
  * job that was stored after the takeover, because the next leader starts such jobs at once, without waiting for the
  * workers that a former leader may have used. Therefore a job starts only after a write of this leader, which requires
  * the term, has been confirmed with a later version than the job's row, or was sent after the job became known. The
  * write may be one to the leader's own partition, or one under its fence in the job's partition.
+ *
+ * Nor may it take leases for expired that the next leader has renewed. A leader polls workers only once its term is
+ * stored and its fences are in place in all intake partitions. Therefore leases have expired if they were over when a
+ * confirmed write was sent, to whichever partition.
  */
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.IntakeRows
 
+/** Earlier than any time; far enough from the smallest number for margins to be subtracted. */
+private const val NEVER_MS = Long.MIN_VALUE / 2
+
 internal class TermConfirmation(
     private val termRowVersion: Long,
     private val renewedAtMs: () -> Long,
@@ -24,7 +31,7 @@
     /** Monotonic time at which the last confirmed write to the leader's partition was sent. */
     private val confirmedAtMs: Long get() = maxOf(journalConfirmedAtMs, renewedAtMs())
 
-    /** A job is known that may not start before the next confirmed write. */
+    /** A start or the expiry of a lease waits for the next confirmed write. */
     var isWanted: Boolean = false
         private set
 
@@ -54,6 +61,24 @@
         return isCovered
     }
 
+    /** Monotonic time at which the last confirmed write to any partition was sent: the term was still held then. */
+    private val heldAtMs: Long get() = maxOf(NEVER_MS, confirmedAtMs, confirmedInPartitionAtMs ?: NEVER_MS)
+
+    /** Monotonic time at which leases were over that the next leader may have renewed. */
+    private var expiryAtMs = NEVER_MS
+
+    /** True while the expiry of a lease waits for a confirmed write to any partition. */
+    val isExpiryOpen: Boolean get() = heldAtMs < expiryAtMs
+
+    /** True if leases have certainly expired that are over at the times for which [isOverAt] holds. */
+    fun haveExpired(nowMs: Long, isOverAt: (Long) -> Boolean): Boolean {
+        if (!isOverAt(nowMs)) return false
+        if (isOverAt(heldAtMs)) return true
+        if (!isExpiryOpen) expiryAtMs = nowMs
+        isWanted = true
+        return false
+    }
+
     /** True if the job was stored after the takeover, so that no former leader has started it. */
     fun isNewerThanTerm(job: TrackedJob): Boolean =
         job.storedVersion > maxOf(termRowVersion, IntakeRows.partitionsOf(job.id).maxOf(formerFenceVersion))
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -43,12 +43,15 @@
     /** Leases of a worker with further ends do not expire with those of the former leader: this leader renews them. */
     private fun mayHaveUnknownRuns(worker: TrackedWorker, now: Long): Boolean = when {
         worker.isGone || worker.hasReportedAll -> false
-        now < formerLeasesUntilMs -> true
-        else -> worker.hasFurtherEnds && (worker.isReachable || !isLeaseOver(worker, now))
+        worker.hasFurtherEnds && (worker.isReachable || !isLeaseOver(worker, now)) -> true
+        else -> !areFormerLeasesOver(now)
     }
 
-    private fun isLeaseOver(worker: TrackedWorker, now: Long) =
-        worker.clock.isLeaseOver(now - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
+    private fun isLeaseOver(worker: TrackedWorker, now: Long) = context.confirmation.haveExpired(now) { timeMs ->
+        worker.clock.isLeaseOver(timeMs - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
+    }
+
+    private fun areFormerLeasesOver(now: Long) = context.confirmation.haveExpired(now) { it >= formerLeasesUntilMs }
 
     /** True while runs that a former leader started may exist on workers that have not reported all of them yet. */
     val hasUnknownRuns: Boolean get() = hasUnknownWorkers || unreportedWorkers.isNotEmpty()
@@ -61,7 +64,7 @@
             return unreported.fold(Resources.NONE) { sum, worker -> sum + worker.entry.capacity }
         }
 
-    private val hasUnknownWorkers: Boolean get() = isRosterUnknown && context.clock() < formerLeasesUntilMs
+    private val hasUnknownWorkers: Boolean get() = isRosterUnknown && !areFormerLeasesOver(context.clock())
 
     /** True if such a run may belong to the job. */
     fun mayHaveUnknownRuns(jobId: String): Boolean =
@@ -176,7 +179,7 @@
             val isOver = if (worker.isContacted) {
                 isLeaseOver(worker, now)
             } else {
-                now >= formerLeasesUntilMs
+                areFormerLeasesOver(now)
             }
             if (!isOver) continue
             if (!worker.isListed) {
@@ -188,6 +191,7 @@
             }
             worker.removeAllStrays()
         }
+        if (context.confirmation.isExpiryOpen) context.wakeJournal()
     }
 
     private fun markGone(worker: TrackedWorker, reason: String) {
