--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -40,13 +40,22 @@
     var isRosterUnknown = false
 
     private val unreportedWorkers: List<TrackedWorker>
-        get() = if (context.clock() >= formerLeasesUntilMs) {
-            emptyList()
-        } else {
-            formerWorkers.keys.filter { !it.isContacted && !it.isGone }
-        }
+        get() = context.clock().let { now -> formerWorkers.keys.filter { mayHaveUnknownRuns(it, now) } }
+
+    /** Leases of a worker with further ends do not expire with those of the former leader: this leader renews them. */
+    private fun mayHaveUnknownRuns(worker: TrackedWorker, now: Long): Boolean = when {
+        worker.isGone || worker.hasReportedAll -> false
+        worker.hasFurtherEnds && (worker.isReachable || !isLeaseOver(worker, now)) -> true
+        else -> !areFormerLeasesOver(now)
+    }
+
+    private fun isLeaseOver(worker: TrackedWorker, now: Long) = context.confirmation.haveExpired(now) { timeMs ->
+        worker.clock.isLeaseOver(timeMs - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
+    }
+
+    private fun areFormerLeasesOver(now: Long) = context.confirmation.haveExpired(now) { it >= formerLeasesUntilMs }
 
-    /** True while runs that a former leader started may exist on workers that have not reported yet. */
+    /** True while runs that a former leader started may exist on workers that have not reported all of them yet. */
     val hasUnknownRuns: Boolean get() = hasUnknownWorkers || unreportedWorkers.isNotEmpty()
 
     /** Capacity of the workers on which such runs may exist; null if it is not known of all of them. */
@@ -57,7 +66,7 @@
             return unreported.fold(Resources.NONE) { sum, worker -> sum + worker.entry.capacity }
         }
 
-    private val hasUnknownWorkers: Boolean get() = isRosterUnknown && context.clock() < formerLeasesUntilMs
+    private val hasUnknownWorkers: Boolean get() = isRosterUnknown && !areFormerLeasesOver(context.clock())
 
     /** True if such a run may belong to the job. */
     fun mayHaveUnknownRuns(jobId: String): Boolean =
@@ -171,7 +180,7 @@
      * carried out starts for [former], those of this leader and those of former leaders: these runs are not lost.
      */
     private fun replace(former: TrackedWorker, successor: TrackedWorker, reason: String) {
-        if (former in formerWorkers && successor !in formerWorkers && !former.isContacted) {
+        if (former in formerWorkers && successor !in formerWorkers && !former.hasReportedAll) {
             formerWorkers[successor] = formerWorkers[former]
         }
         former.placements.filterNot { it.isReported }.forEach { lifecycle.moveTo(successor, it) }
@@ -184,9 +193,9 @@
         context.workerPool.workers.toList().forEach { removeIfDeparted(it) }
         for (worker in context.workerPool.workers.toList().filter { !it.isReachable || !it.isContacted }) {
             val isOver = if (worker.isContacted) {
-                worker.clock.isLeaseOver(now - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
+                isLeaseOver(worker, now)
             } else {
-                now >= formerLeasesUntilMs
+                areFormerLeasesOver(now)
             }
             if (!isOver) continue
             val (open, expired) = worker.placements.partition { !it.isReported && now < it.leaseOverAtMs }
@@ -197,6 +206,7 @@
             expired.forEach { lifecycle.lost(it, "its lease has expired and its worker does not answer") }
             worker.removeAllStrays()
         }
+        if (context.confirmation.isExpiryOpen) context.wakeJournal()
     }
 
     /** Time by which the run has ended for certain if the next incarnation of the worker has carried out its start. */
