stand-ins: reachability by leader, late reports, 500 ends a report

The in-memory workers could not be reached by one leader only, answers could not overtake each other, and a report listed any number of ends. The checker missed a task that starts again after its run has ended as done while the end is not acknowledged yet; it now counts once the end is acknowledged, unless the leases of the worker expired in between.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -121,7 +121,7 @@
         val version = termVersion()
         val dependencies = LeaderDependencies(
             store = store.clientFor("leader-$term"),
-            calls = workers.calls(pollDelayMs),
+            calls = workers.calls("leader-$term", pollDelayMs),
             bounds = boundsForTests(),
             clock = ::nowMs,
             wallClock = ::nowMs,
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
@@ -24,6 +24,10 @@
     public val accountLimits: MutableMap<String, Resources> = HashMap()
     private val acknowledgedDone = HashSet<TaskName>()
 
+    /** Runs that ended as [EndKind.DONE], by task, and those after whose end the task was started again. */
+    private val doneRuns = HashMap<TaskName, MutableSet<TaskRun>>()
+    private val repeatedRuns = HashMap<TaskRun, String>()
+
     private val crashesBy = HashMap<TaskName, Int>()
     private val startsAfterThirdCrash = HashMap<TaskName, Int>()
 
@@ -47,6 +51,7 @@
         val others = runningOn.getOrPut(run.task) { HashSet() }
         if (others.isNotEmpty()) violations += "duplicate run: $run on $workerId while $others are running"
         if (run.task in acknowledgedDone) violations += "duplicate run: $run on $workerId after an acknowledged end"
+        doneRuns[run.task].orEmpty().forEach { repeatedRuns.putIfAbsent(it, "$run on $workerId") }
         others += run to workerId
         checkAccount(task.account)
         if ((crashesBy[run.task] ?: 0) < MAX_CRASHES_BY_A_TASK) return
@@ -60,15 +65,21 @@
 
     internal fun recordEnd(run: TaskRun, workerId: String, kind: EndKind) {
         recordLoss(run, workerId)
-        if (kind == EndKind.DONE) done += run.task
+        if (kind != EndKind.DONE) return
+        done += run.task
+        doneRuns.getOrPut(run.task) { HashSet() } += run
     }
 
     internal fun recordLoss(run: TaskRun, workerId: String) {
         runningOn[run.task]?.remove(run to workerId)
     }
 
-    internal fun recordAcknowledgement(end: TaskEnd) {
-        if (end.kind == EndKind.DONE) acknowledgedDone += end.run.task
+    /** A start between the end and its acknowledgement is wrong as well, unless the worker's leases expired meanwhile. */
+    internal fun recordAcknowledgement(end: TaskEnd, hasLeaseExpired: Boolean) {
+        if (end.kind != EndKind.DONE) return
+        acknowledgedDone += end.run.task
+        val repeated = repeatedRuns[end.run] ?: return
+        if (!hasLeaseExpired) violations += "duplicate run: $repeated after ${end.run} had ended, acknowledged later"
     }
 
     private fun checkAccount(account: String?) {
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
@@ -13,6 +13,12 @@
     /** Workers that no call reaches while they keep running. */
     public val unreachable: MutableSet<String> = HashSet()
 
+    /** Workers that the calls of one leader do not reach, by the name of the leader; others reach them. */
+    public val unreachableFrom: MutableMap<String, Set<String>> = HashMap()
+
+    /** Delay of a response to a request for a report after the worker has composed it; later ones may overtake it. */
+    public var reportDelayMs: () -> Long = { 0 }
+
     /** Workers on which every run fails shortly after its start. */
     public val failing: MutableSet<String> = HashSet()
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
@@ -30,6 +30,9 @@
     private var leaseUntilMs = 0L
     private var acknowledgedEnd = 0L
     private var lastEndNumber = 0L
+
+    /** Number of the last end that was listed when the leases expired. */
+    private var lastEndAtExpiry = 0L
     private val id get() = entry.incarnation.workerId
 
     /** The worker's own monotonic clock, which starts at 0 with its incarnation. */
@@ -46,6 +49,7 @@
                 model.isDone(nowMs()) -> end(model, EndKind.DONE)
             }
         }
+        if (expired) lastEndAtExpiry = lastEndNumber
     }
 
     fun start(request: StartRequest, task: TaskModel): StartAnswer {
@@ -92,7 +96,7 @@
         }
         val isStalled = id in faults.stalled
         val runs = running.values.map { RunningTask(it.run, null, if (isStalled) 0 else it.progressPercent(nowMs())) }
-        return HoldAnswer.Report(startedAtMs, nowMs(), runs, ends.toList())
+        return HoldAnswer.Report(startedAtMs, nowMs(), runs, ends.take(MAX_ENDS_IN_REPORT))
     }
 
     val hasUnacknowledgedEnds: Boolean get() = ends.isNotEmpty()
@@ -104,7 +108,8 @@
     }
 
     private fun acknowledge(number: Long) {
-        ends.filter { it.number in (acknowledgedEnd + 1)..number }.forEach { checker.recordAcknowledgement(it) }
+        ends.filter { it.number in (acknowledgedEnd + 1)..number }
+            .forEach { checker.recordAcknowledgement(it, hasLeaseExpired = it.number <= lastEndAtExpiry) }
         ends.removeAll { it.number <= number }
         acknowledgedEnd = maxOf(acknowledgedEnd, number)
     }
@@ -118,5 +123,8 @@
 
     private companion object {
         const val FAILURE_DELAY_MS = 50L
+
+        /** A report lists at most this many ends; the others are listed once these are acknowledged. */
+        const val MAX_ENDS_IN_REPORT = 500
     }
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -104,26 +104,29 @@
         }
     }
 
-    /** Returns the calls of one leader; [pollDelayMs] is the extra latency of its requests for a worker's report. */
-    public fun calls(pollDelayMs: (workerId: String) -> Long = { 0 }): WorkerCalls = WorkerCalls(
-        start = ::start,
-        stop = ::stop,
+    /**
+     * Returns the calls of the leader [caller]; [pollDelayMs] is the extra latency of its requests for a worker's
+     * report.
+     */
+    public fun calls(caller: String = "", pollDelayMs: (workerId: String) -> Long = { 0 }): WorkerCalls = WorkerCalls(
+        start = { worker, request -> start(caller, worker, request) },
+        stop = { worker, run, fencingToken -> stop(caller, worker, run, fencingToken) },
         hold = { worker, request ->
             delay(pollDelayMs(worker.incarnation.workerId))
-            hold(worker, request)
+            hold(caller, worker, request).also { delay(faults.reportDelayMs()) }
         },
     )
 
-    private fun reachableWorker(worker: WorkerEntry): WorkerModel? {
+    private fun reachableWorker(caller: String, worker: WorkerEntry): WorkerModel? {
         val id = worker.incarnation.workerId
         check(id !in faults.failingCalls) { "the client of $id is faulty" }
-        return workers[id].takeIf { id !in faults.unreachable }
+        return workers[id].takeIf { id !in faults.unreachable && id !in faults.unreachableFrom[caller].orEmpty() }
     }
 
-    private suspend fun start(worker: WorkerEntry, request: StartRequest): StartAnswer {
+    private suspend fun start(caller: String, worker: WorkerEntry, request: StartRequest): StartAnswer {
         delay(CALL_LATENCY_MS)
         if (hasSuccessor(worker)) return StartAnswer(StartResult.OTHER_WORKER)
-        val model = reachableWorker(worker) ?: return startFailure(worker)
+        val model = reachableWorker(caller, worker) ?: return startFailure(worker)
         val task = taskOf(request.run.task)
         if (random.nextDouble() >= faults.delayedRequestShare) return start(model, request, task)
         scope.launch {
@@ -157,28 +160,28 @@
         return StartAnswer(StartResult.UNKNOWN)
     }
 
-    private suspend fun stop(worker: WorkerEntry, run: TaskRun, fencingToken: Long): Boolean {
+    private suspend fun stop(caller: String, worker: WorkerEntry, run: TaskRun, fencingToken: Long): Boolean {
         delay(CALL_LATENCY_MS)
-        val model = reachableWorker(worker)
+        val model = reachableWorker(caller, worker)
         if (model == null) delay(CALL_TIMEOUT_MS)
         return model?.stop(run, fencingToken) ?: false
     }
 
-    private suspend fun hold(worker: WorkerEntry, request: HoldRequest): HoldAnswer {
+    private suspend fun hold(caller: String, worker: WorkerEntry, request: HoldRequest): HoldAnswer {
         delay(CALL_LATENCY_MS)
         var waitedMs = 0L
-        val initialAnswer = answerNow(worker, request) ?: return holdFailure(worker)
+        val initialAnswer = answerNow(caller, worker, request) ?: return holdFailure(worker)
         while (initialAnswer is HoldAnswer.Report && waitedMs < request.waitMs) {
-            val model = reachableWorker(worker) ?: return holdFailure(worker)
+            val model = reachableWorker(caller, worker) ?: return holdFailure(worker)
             if (model.hasUnacknowledgedEnds) return model.hold(request)
             delay(POLL_PERIOD_MS)
             waitedMs += POLL_PERIOD_MS
         }
-        return answerNow(worker, request) ?: holdFailure(worker)
+        return answerNow(caller, worker, request) ?: holdFailure(worker)
     }
 
-    private fun answerNow(worker: WorkerEntry, request: HoldRequest): HoldAnswer? =
-        if (hasSuccessor(worker)) HoldAnswer.OtherWorker else reachableWorker(worker)?.hold(request)
+    private fun answerNow(caller: String, worker: WorkerEntry, request: HoldRequest): HoldAnswer? =
+        if (hasSuccessor(worker)) HoldAnswer.OtherWorker else reachableWorker(caller, worker)?.hold(request)
 
     private suspend fun holdFailure(worker: WorkerEntry): HoldAnswer {
         if (worker.incarnation.workerId in refusing) return HoldAnswer.Unreachable("connection refused")
