scheduler: failing test for a draining worker that is gone after one lost answer

A task ran on two workers at the same time. A draining worker's entry had expired in an outage of the store; the worker answered all polls. WorkerRegistry.removeDeparted takes it for gone as soon as one poll gets no answer, at any later time, although its leases last for seconds. The test fails: run 2 starts on w1 while run 1 is on w0.

--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -0,0 +1,48 @@
+/** Orders of events after which a task must not run a second time: what a leader does not know may still run. */
+package dev.bronzeshore.server.cluster
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+private const val JOB = "00000000000000aa"
+private const val RUN_MS = 14_000L
+
+class DuplicateRunTest {
+    /** Guards against one lost answer that proves a draining worker gone whose entry expired in an outage. */
+    @Test
+    fun `a draining worker that does not answer once keeps its runs until its leases have expired`() = runTest {
+        val simulation = simulationWithOneRunOnW0()
+        simulation.workers.drain("w0")
+        delay(500)
+        simulation.store.faults.isDown = true
+        delay(300)
+        simulation.unlist("w0")
+        delay(1_000)
+        simulation.store.faults.isDown = false
+        delay(4_000)
+        simulation.workers.faults.unreachable += "w0"
+        delay(2_000)
+        simulation.workers.faults.unreachable.clear()
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
+    /** The run of [JOB] is on w0; w1, which starts later, is on the stored roster. */
+    private suspend fun TestScope.simulationWithOneRunOnW0(): SchedulerSimulation {
+        val simulation = SchedulerSimulation(this, seed = 21, workerCount = 1)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.submit(JOB, step(replicas = 1, cores = 8, durationMs = RUN_MS))
+        awaitUntil { simulation.workers.checker.starts == 1 }
+        simulation.workers.boot("w1")
+        simulation.awaitRoster()
+        delay(500)
+        return simulation
+    }
+
+    private fun assertNoViolations(simulation: SchedulerSimulation) =
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations.take(3))
+}
