scheduler: failing test for leases that another leader has renewed

A leader that reaches neither the store nor a worker takes the worker's leases for expired after some seconds and starts the tasks elsewhere. Another leader may have renewed the leases: WorkerRegistry.expireLeases asks for no confirmed write of the term. The test fails: both runs were started by the former leader.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -30,6 +30,18 @@
         assertNoViolations(simulation)
     }
 
+    /** Guards against a leader without the store that takes a lease for expired which another leader has renewed. */
+    @Test
+    fun `a leader that is cut off from the store starts nothing of a worker that the next leader renews`() = runTest {
+        val simulation = simulationWithOneRunOnW0()
+        simulation.store.faults.refusedCallers += "leader-1"
+        simulation.workers.faults.unreachableFrom["leader-1"] = setOf("w0")
+        simulation.workers.faults.unreachableFrom["leader-2"] = setOf("w1")
+        simulation.lead()
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
     /** The run of [JOB] is on w0; w1, which starts later, is on the stored roster. */
     private suspend fun TestScope.simulationWithOneRunOnW0(): SchedulerSimulation {
         val simulation = SchedulerSimulation(this, seed = 21, workerCount = 1)
