scheduler: failing test for a recovery that outlasts the former leases

WorkerRegistry.formerLeasesUntilMs counts from the start of the term, but workers are polled only once the store has been read. If a partition does not respond for eight seconds, the new leader waits for no worker's report, while a former leader that is still alive renews the leases. The test fails: run 10001 starts while run 1 is on w0.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -42,6 +42,22 @@
         assertNoViolations(simulation)
     }
 
+    /**
+     * Guards against a takeover whose reading of the store outlasts the leases of a leader that was dead: the former
+     * leader is alive, and no worker has heard of the new one yet.
+     */
+    @Test
+    fun `a new leader whose recovery takes long waits for the workers' reports`() = runTest {
+        val simulation = simulationWithOneRunOnW0()
+        simulation.store.faults.refusedCallers += "leader-1"
+        simulation.store.faults.silentPartitions["leader-2"] = setOf("7")
+        simulation.lead(pollDelayMs = { if (it == "w0") 300 else 0 })
+        delay(8_000)
+        simulation.store.faults.silentPartitions.clear()
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
     /** The run of [JOB] is on w0; w1, which starts later, is on the stored roster. */
     private suspend fun TestScope.simulationWithOneRunOnW0(): SchedulerSimulation {
         val simulation = SchedulerSimulation(this, seed = 21, workerCount = 1)
