scheduler: failing test for leases that a former leader goes on renewing

A leader without the store renews leases until a worker refuses its token. The next leader counts formerLeasesUntilMs from the start of its own term, so it takes leases for expired which were granted after the takeover. The test fails: run 10001 starts on w1 while run 1 is on w0, which the new leader does not reach.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -58,6 +58,17 @@
         assertNoViolations(simulation)
     }
 
+    /** Guards against a leader that takes the leases for expired which a former leader goes on renewing. */
+    @Test
+    fun `a new leader starts nothing of a worker whose leases a former leader without the store renews`() = runTest {
+        val simulation = simulationWithOneRunOnW0()
+        simulation.store.faults.refusedCallers += "leader-1"
+        simulation.workers.faults.unreachableFrom["leader-2"] = setOf("w0")
+        simulation.lead()
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
     /** The run of [JOB] is on w0; w1, which starts later, is on the stored roster. */
     private suspend fun TestScope.simulationWithOneRunOnW0(): SchedulerSimulation {
         val simulation = SchedulerSimulation(this, seed = 21, workerCount = 1)
