scheduler: failing test for a first report that is not whole

ReportHandler.handle counts a report with entries that cannot be decoded as contact, so recovery is complete although the runs of the worker are not known.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -69,6 +69,20 @@
         assertNoViolations(simulation)
     }
 
+    /** Guards against a report with entries that cannot be decoded which counts as all that the worker runs. */
+    @Test
+    fun `a new leader does not take a report that is not whole for complete`() = runTest {
+        val simulation = simulationWithOneRunOnW0()
+        simulation.workers.faults.malformedReports += "w0"
+        simulation.unlist("w0")
+        simulation.stopLeader()
+        simulation.lead()
+        delay(1_000)
+        simulation.workers.faults.malformedReports.clear()
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
     /** The run of [JOB] is on w0; w1, which starts later, is on the stored roster. */
     private suspend fun TestScope.simulationWithOneRunOnW0(): SchedulerSimulation {
         val simulation = SchedulerSimulation(this, seed = 21, workerCount = 1)
