--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -83,6 +83,25 @@
         assertNoViolations(simulation)
     }
 
+    /** Guards against a report with the most ends that fit which counts as all that the worker has ended. */
+    @Test
+    fun `a new leader waits for the ends that do not fit in the first report`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 23, workerCount = 2)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.submit(JOB, smallTasks(replicas = 1_200, durationMs = 500))
+        awaitUntil { simulation.workers.checker.starts == 1_200 }
+        simulation.stopLeader()
+        awaitUntil { simulation.workers.checker.runningCount == 0 }
+        simulation.lead()
+        delay(5_000)
+        assertNoViolations(simulation)
+        assertEquals(1_200, simulation.workers.checker.starts)
+    }
+
+    private fun smallTasks(replicas: Int, durationMs: Long) =
+        step(replicas, cores = 0, durationMs).let { it.copy(size = it.size.copy(memoryBytes = 1)) }
+
     /** The run of [JOB] is on w0; w1, which starts later, is on the stored roster. */
     private suspend fun TestScope.simulationWithOneRunOnW0(): SchedulerSimulation {
         val simulation = SchedulerSimulation(this, seed = 21, workerCount = 1)
