scheduler: failing test for a roster that is stored before the ends it leaves out

Tasks whose runs had ended as done were started again on another worker after a takeover; the ends were acknowledged later. If the leader dies before the next batch, the new leader does not wait for the unreachable worker.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -1,6 +1,7 @@
 /** Orders of events after which a task must not run a second time: what a leader does not know may still run. */
 package dev.bronzeshore.server.cluster
 
+import dev.bronzeshore.core.cluster.Tables
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
@@ -10,6 +11,9 @@
 private const val JOB = "00000000000000aa"
 private const val RUN_MS = 14_000L
 
+/** The journal stores at most 90 jobs in one transaction. */
+private const val JOBS_BEYOND_A_BATCH = 120
+
 class DuplicateRunTest {
     /** Guards against one lost answer that proves a draining worker gone whose entry expired in an outage. */
     @Test
@@ -99,6 +103,43 @@
         assertEquals(1_200, simulation.workers.checker.starts)
     }
 
+    /**
+     * Guards against a roster that is stored before the ends which it leaves out: it says that an unreachable worker
+     * has no run of a job whose end is in a later batch.
+     */
+    @Test
+    fun `the stored roster names a worker's jobs until their ends are stored`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 24, workerCount = 1)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.submit(JOB, smallTasks(replicas = 1, durationMs = 3_000))
+        awaitUntil { simulation.workers.checker.starts == 1 }
+        simulation.workers.boot("w1")
+        simulation.awaitRoster()
+        repeat(JOBS_BEYOND_A_BATCH) { simulation.submit("$it".padStart(16, '0'), smallTasks(1, durationMs = 500)) }
+        awaitUntil { simulation.workers.checker.starts == 1 + JOBS_BEYOND_A_BATCH }
+        simulation.store.faults.isDown = true
+        awaitUntil { simulation.workers.checker.runningCount == 0 }
+        delay(100)
+        simulation.workers.faults.unreachable += "w0"
+        delay(800)
+        val rosterVersion = simulation.rosterVersion()
+        simulation.store.faults.latencyMs = 300
+        simulation.store.faults.isDown = false
+        awaitUntil { simulation.rosterVersion() != rosterVersion }
+        // The first batch is stored with the roster, the second one is not.
+        simulation.stopLeader()
+        simulation.store.faults.latencyMs = 4
+        simulation.lead()
+        delay(1_000)
+        simulation.workers.faults.unreachable.clear()
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
+    private fun SchedulerSimulation.rosterVersion() =
+        store.rowsOf(Tables.LEADER_STATE).first { it.id == Tables.ROSTER_ROW }.version
+
     private fun smallTasks(replicas: Int, durationMs: Long) =
         step(replicas, cores = 0, durationMs).let { it.copy(size = it.size.copy(memoryBytes = 1)) }
 
