scheduler: failing test for a draining worker unlisted before its first report

Right after a takeover the new leader does not know the runs of a draining worker. If the worker's entry is missing before its first report has arrived, WorkerRegistry.unlist takes the worker for gone, and recovery no longer waits for it.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -137,6 +137,20 @@
         assertNoViolations(simulation)
     }
 
+    /** Guards against a draining worker that counts as gone, with runs that the new leader does not know yet. */
+    @Test
+    fun `a new leader waits for a draining worker that is unlisted before its first report`() = runTest {
+        val simulation = simulationWithOneRunOnW0()
+        simulation.workers.drain("w0")
+        delay(1_000)
+        simulation.stopLeader()
+        simulation.lead(pollDelayMs = { if (it == "w0") 600 else 0 })
+        delay(100)
+        simulation.unlist("w0")
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
     private fun SchedulerSimulation.rosterVersion() =
         store.rowsOf(Tables.LEADER_STATE).first { it.id == Tables.ROSTER_ROW }.version
 
