scheduler: failing test for an acknowledged end of a job that is set aside

A job whose progress row cannot be decoded is set aside until the row is repaired. The ends of its runs are acknowledged meanwhile although nothing of them is stored, so a later leader that can read the rows starts the tasks again.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -151,6 +151,26 @@
         assertNoViolations(simulation)
     }
 
+    /** Guards against the end of a job that cannot be decoded yet, which is acknowledged without being recorded. */
+    @Test
+    fun `an end of a job that is set aside is not acknowledged`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 25, workerCount = 1)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.submit(JOB, step(replicas = 1, cores = 8, durationMs = 3_000))
+        awaitUntil { simulation.workers.checker.starts == 1 }
+        simulation.stopLeader()
+        simulation.store.put(Tables.progressRow(JOB), "not a progress row".toByteArray())
+        simulation.lead()
+        awaitUntil { simulation.workers.checker.runningCount == 0 }
+        delay(1_000)
+        simulation.stopLeader()
+        simulation.store.put(Tables.progressRow(JOB), null)
+        simulation.lead()
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
     private fun SchedulerSimulation.rosterVersion() =
         store.rowsOf(Tables.LEADER_STATE).first { it.id == Tables.ROSTER_ROW }.version
 
