scheduler: failing test for the successor of a former worker after a takeover

A worker restarted under its id, the former leader did not notice and started a task there, and died. When the new leader learns of the restart, by the first report or from the directory, WorkerRegistry removes the former incarnation from the workers that recovery waits for and adds the current one without making recovery wait for it. The test fails in both cases: run 10001 starts on w1 while run 1 is on w0.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -7,6 +7,8 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 
 private const val JOB = "00000000000000aa"
 private const val RUN_MS = 14_000L
@@ -151,6 +153,31 @@
         assertNoViolations(simulation)
     }
 
+    /**
+     * Guards against runs that a former leader started on a worker under its id after it had restarted: the new leader
+     * must not start their tasks before the worker's current incarnation has reported.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `a new leader waits for the successor of a former worker`(isAnnounced: Boolean) = runTest {
+        val simulation = SchedulerSimulation(this, seed = 26, workerCount = 1)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.workers.faults.isRestartSilent = true
+        delay(2_000)
+        simulation.workers.restart("w0")
+        simulation.submit(JOB, step(replicas = 1, cores = 8, durationMs = RUN_MS))
+        awaitUntil { simulation.workers.checker.starts == 1 }
+        simulation.workers.boot("w1")
+        simulation.awaitRoster()
+        simulation.stopLeader()
+        simulation.lead(pollDelayMs = { if (it == "w0") 300 else 0 })
+        delay(100)
+        if (isAnnounced) simulation.workers.announce("w0")
+        delay(RUN_MS)
+        assertNoViolations(simulation)
+    }
+
     /** Guards against the end of a job that cannot be decoded yet, which is acknowledged without being recorded. */
     @Test
     fun `an end of a job that is set aside is not acknowledged`() = runTest {
