--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
@@ -74,7 +74,7 @@
         runningOn[run.task]?.remove(run to workerId)
     }
 
-    /** A start between the end and its acknowledgement is wrong as well, unless the worker's leases expired meanwhile. */
+    /** A start before the acknowledgement is wrong as well, unless the worker's leases expired after the end. */
     internal fun recordAcknowledgement(end: TaskEnd, hasLeaseExpired: Boolean) {
         if (end.kind != EndKind.DONE) return
         acknowledgedDone += end.run.task
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -191,9 +191,14 @@
         val initialAnswer = answerNow(caller, worker, request) ?: return holdFailure(worker)
         val asked = workers[worker.incarnation.workerId]
         while (initialAnswer is HoldAnswer.Report && waitedMs < request.waitMs) {
-            val model = reachableWorker(caller, worker) ?: return holdFailure(worker)
-            if (model !== asked) return brokenPoll(request.waitMs - waitedMs)
-            if (model.hasUnacknowledgedEnds) return model.hold(request)
+            val model = reachableWorker(caller, worker)
+            val answer = when {
+                model == null -> holdFailure(worker)
+                model !== asked -> brokenPoll(request.waitMs - waitedMs)
+                model.hasUnacknowledgedEnds -> model.hold(request)
+                else -> null
+            }
+            if (answer != null) return answer
             delay(POLL_PERIOD_MS)
             waitedMs += POLL_PERIOD_MS
         }
