--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -28,6 +28,7 @@
 import dev.bronzeshore.core.cluster.WorkerRosterRow
 import dev.bronzeshore.core.cluster.decodeRow
 import dev.bronzeshore.core.cluster.encodeRow
+import dev.bronzeshore.platform.cluster.PlatformClient
 import dev.bronzeshore.scheduler.AdviceClient
 import dev.bronzeshore.scheduler.LeaderDependencies
 import dev.bronzeshore.scheduler.LeaderTermRunner
@@ -112,7 +113,13 @@
 
     fun unlist(workerId: String) = register(WorkerChange(workerId, null))
 
-    private fun decode(row: StoredRow) = WorkerChange(row.id.key, row.value?.let { entries[it.decodeToString()] })
+    /** Writes a row of the worker table as another program would; the platform's decoder reads it. */
+    fun putEntry(workerId: String, text: String) = store.put(RowId(WORKER_TABLE, "", workerId), text.toByteArray())
+
+    private fun decode(row: StoredRow): WorkerChange {
+        val registered = row.value?.let { entries[it.decodeToString()] }
+        return if (registered == null) PlatformClient.parseWorkerChange(row) else WorkerChange(row.id.key, registered)
+    }
 
     /** Starts the leader of the next term; the previous one keeps running unless it is stopped. */
     fun lead(pollDelayMs: (workerId: String) -> Long = { 0 }): Job {
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
@@ -29,6 +29,9 @@
     /** Delay after which a transaction without a response is applied, if its conditions still hold. */
     public var lostWriteDelayMs: Long = 0
 
+    /** Transactions with a longer value are refused. */
+    public var maxValueBytes: Int = Int.MAX_VALUE
+
     /** Change feeds that start before this version fail because the history is gone. */
     public var oldestHistoryVersion: Long = 0
 }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
@@ -60,7 +60,9 @@
     private suspend fun transact(caller: String, transaction: StoreTransaction): StoreOutcome {
         calls.merge("transact", 1, Int::plus)
         delay(latencyMsOf(caller) / 2)
-        if (isRefused(caller)) return StoreOutcome.NotApplied("refused")
+        if (isRefused(caller) || transaction.writes.any { it.value.size > faults.maxValueBytes }) {
+            return StoreOutcome.NotApplied("refused")
+        }
         val partitions = (transaction.writes.map { it.id } + transaction.deletes + transaction.conditions.map { it.id })
         if (partitions.any { isSilent(caller, it.partition) }) {
             delay(CALL_TIMEOUT_MS)
