scheduler: an entry that cannot be decoded does not end its worker

The tasks of a draining worker were started again on another one while they ran, when its entry was overwritten by one that cannot be decoded: such an entry was treated as a removed one, and a draining worker without an entry has left.

A change of the worker table now says whether the row was removed or cannot be decoded. In the latter case the worker gets no new tasks, and it has left only if it does not answer either, as after an outage of the store.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Worker.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Worker.kt
@@ -20,7 +20,12 @@
 )
 
 /** A change in the worker directory; [entry] is null when the worker has left or its entry has expired. */
-public data class WorkerChange(public val workerId: String, public val entry: WorkerEntry?)
+public data class WorkerChange(
+    public val workerId: String,
+    public val entry: WorkerEntry?,
+    /** There is an entry that cannot be decoded: the worker is not to be used, but it need not have left. */
+    public val isMalformed: Boolean = false,
+)
 
 /** One run of a task; the run number of a task increases with each start. */
 public data class TaskRun(public val task: TaskName, public val run: Long)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -95,7 +95,7 @@
 
     fun apply(change: WorkerChange) {
         val entry = change.entry
-        if (entry == null) return context.workerPool.withId(change.workerId).forEach { unlist(it) }
+        if (entry == null) return context.workerPool.withId(change.workerId).forEach { unlist(it, change.isMalformed) }
         for (older in context.workerPool.withId(change.workerId)) {
             if (older.incarnation.startedAtMs > entry.incarnation.startedAtMs) return
             if (older.incarnation.startedAtMs < entry.incarnation.startedAtMs) markGone(older, "the worker restarted")
@@ -132,14 +132,21 @@
 
     /**
      * A draining worker that is no longer listed has left, unless its entry may have expired in an outage of the
-     * store: then it has left if it is still not listed after the grace and does not answer. Any other unlisted worker
-     * may still run its tasks.
+     * store or has been overwritten: then it has left if it is still not listed after the grace and does not answer.
+     * Any other unlisted worker may still run its tasks.
      */
-    private fun unlist(worker: TrackedWorker) {
+    private fun unlist(worker: TrackedWorker, isMalformed: Boolean) {
         val now = context.clock()
         worker.isListed = false
-        if (now - directoryFailedAtMs < LISTING_GRACE_MS) worker.goneIfUnlistedAtMs = now + LISTING_GRACE_MS
-        context.log.event("worker_unlisted", "worker" to worker.id, "draining" to worker.entry.isDraining)
+        if (isMalformed || now - directoryFailedAtMs < LISTING_GRACE_MS) {
+            worker.goneIfUnlistedAtMs = now + LISTING_GRACE_MS
+        }
+        context.log.event(
+            "worker_unlisted",
+            "worker" to worker.id,
+            "draining" to worker.entry.isDraining,
+            "malformed" to isMalformed,
+        )
         if (worker.entry.isDraining && worker.goneIfUnlistedAtMs == null) markGone(worker, "the worker has left")
     }
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/OddWorkerTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/OddWorkerTest.kt
@@ -5,9 +5,11 @@
 import dev.bronzeshore.core.cluster.ClientAccounts
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.KeyDigest
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 
@@ -19,6 +21,9 @@
 /** Time in which a job of 300 ms ends that waits for nothing. */
 private const val END_WITHIN_MS = 2_000L
 
+/** Time within which the leader has read a change of the worker table. */
+private const val OBSERVATION_MS = 1_000L
+
 class OddWorkerTest {
     class Case(val name: String, val entry: String) {
         override fun toString() = name
@@ -48,6 +53,25 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
+    /**
+     * Guards against runs that are started again because the entry of their draining worker cannot be decoded, which
+     * was taken for the removal of the entry and thus for the end of the worker.
+     */
+    @Test
+    fun `a draining worker whose entry is overwritten keeps its runs`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 43, workerCount = 2)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.submit(id(1), step(replicas = 4, cores = 8, durationMs = 4_000))
+        awaitUntil { simulation.workers.checker.starts == 4 }
+        simulation.workers.drain("w0")
+        delay(OBSERVATION_MS)
+        simulation.putEntry("w0", "odd")
+        assertTrue(simulation.awaitPhase(id(1), JobPhase.COMPLETED, withinMs = 6_000))
+        assertEquals(4, simulation.workers.checker.starts)
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
+
     private fun id(number: Int) = number.toString(16).padStart(16, '0')
 
     private fun submit(simulation: SchedulerSimulation, number: Int) =
