scheduler: a worker that never answers no longer delays takeovers

As long as one entry of the worker table named an address at which no worker answers, every takeover made jobs that were accepted before it wait until the leases of the former leader had expired (6.9 s with the bounds of the test). The stored roster said of such a worker that any job may run there, although its leader had started nothing on it: tasks start only on workers that have answered.

Once the leases of former leaders have expired, the roster now says of a worker that has not answered that no job runs there. When it answers, tasks start on it only after the roster has been stored anew, as for a worker that was unreachable.

A second takeover within the leases of the first is delayed as before.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -113,6 +113,16 @@
         if (isContacted) jobsWhenUnreachable = placedJobs()
     }
 
+    /**
+     * The leases of former leaders have expired: nothing runs here before the worker has answered, because this leader
+     * starts tasks only on workers that have. True if the stored roster did not say so.
+     */
+    fun recordIdleUntilAnswer(): Boolean {
+        if (isContacted || isReachable || jobsWhenUnreachable != null) return false
+        jobsWhenUnreachable = emptySet()
+        return true
+    }
+
     /** Takes over the listed entry; on a draining worker nothing new starts, so its jobs are fixed from then on. */
     fun update(listed: WorkerEntry) {
         if (!listed.isDraining) jobsWhenDraining = null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -180,6 +180,7 @@
                 now >= formerLeasesUntilMs
             }
             if (!isOver) continue
+            if (worker.recordIdleUntilAnswer()) context.wakeJournal()
             if (!worker.isListed) {
                 markGone(worker, "the worker is not listed and does not answer")
                 continue
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/OddWorkerTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/OddWorkerTest.kt
@@ -24,6 +24,9 @@
 /** Time within which the leader has read a change of the worker table. */
 private const val OBSERVATION_MS = 1_000L
 
+/** Longer than the leases that a former leader may have granted. */
+private const val LEASES_OVER_MS = 8_000L
+
 class OddWorkerTest {
     class Case(val name: String, val entry: String) {
         override fun toString() = name
@@ -53,6 +56,24 @@
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
     }
 
+    /** Guards against takeovers that wait for a listed worker which has never answered and thus can run nothing. */
+    @Test
+    fun `a worker that never answers does not delay takeovers`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 42, workerCount = 3)
+        simulation.lead()
+        simulation.awaitRoster()
+        simulation.putEntry("i-8", entry())
+        delay(LEASES_OVER_MS)
+        repeat(2) { round ->
+            submit(simulation, 1 + round)
+            simulation.stopLeader()
+            simulation.lead()
+            awaitEnd(simulation, 1 + round, "takeover $round")
+            delay(LEASES_OVER_MS)
+        }
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
+
     /**
      * Guards against runs that are started again because the entry of their draining worker cannot be decoded, which
      * was taken for the removal of the entry and thus for the end of the worker.
