scheduler: only workers that have answered count as capacity for shares

The capacity by which the shares of client accounts are measured included every listed entry. One entry of another writer with a capacity far above that of all workers thus kept each account below its share, and the order of placement no longer protected the others from an account that floods the queue. AccountPartsTest has the case; it is the cause as read from the code, and no run of a deployment showed it.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
@@ -49,9 +49,9 @@
         return tasks
     }
 
-    /** Capacity of all workers that are not about to leave. */
+    /** Capacity of all workers that have answered and are not about to leave; any other entry may name no worker. */
     val capacity: Resources
-        get() = byIncarnation.values.filter { it.isListed && !it.entry.isDraining }
+        get() = byIncarnation.values.filter { it.isContacted && it.isListed && !it.entry.isDraining }
             .fold(Resources.NONE) { sum, worker -> sum + worker.entry.capacity }
 
     /** Workers of a service that take new tasks now. */
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AccountPartsTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AccountPartsTest.kt
@@ -77,6 +77,20 @@
         assertEquals(isOver, AccountShares(accounts, usage, Resources(10_000, 1_000), waiting).isOverShare("a"))
     }
 
+    /** Guards against shares of a capacity that an entry only claims, so that no account is ever above its share. */
+    @Test
+    fun `only workers that have answered count as capacity`() {
+        val pool = WorkerPool()
+        val answering = pool.add(entryOf("w", Resources(16_000, 1_000)))
+        pool.add(entryOf("claimed", Resources(100_000_000, 1_000)))
+        assertEquals(Resources.NONE, pool.capacity)
+        answering.isContacted = true
+        assertEquals(Resources(16_000, 1_000), pool.capacity)
+    }
+
+    private fun entryOf(id: String, capacity: Resources) =
+        WorkerEntry(WorkerIncarnation(id, 1), "s", "$id:1", "dc", false, capacity, emptySet(), null)
+
     /** Guards against an account that floods the queue before the submissions of others. */
     @Test
     fun `only what exceeds the rate of its account is beyond it`() {
