scheduler: the size of an open job cannot end leaders after a takeover

A job of two tasks with 9,000,000,000,000,000,000 millicores each was accepted and stored. After a takeover in which a worker had not reported yet, the planner added up what runs of the job's account may take; the product overflowed, and the ArithmeticException ended the term, that of the next leader as well, as long as the job was open.

The sum is now bounded.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
@@ -7,6 +7,9 @@
 
 import dev.bronzeshore.core.Resources
 
+/** A caller may ask for more than a Long can hold; limits can still be reduced by this amount without overflow. */
+private const val MAX_AMOUNT = Long.MAX_VALUE / 4
+
 internal class UnknownUsage(private val context: TermContext, private val registry: WorkerRegistry) {
     /** Most that unknown runs of [account] may take now. */
     fun of(account: String): Resources {
@@ -14,7 +17,7 @@
         val wanted = context.jobRegistry.openJobs
             .filter { it.accepted.account == account && mayHaveUnknownRuns(it) }
             .flatMap { it.steps }
-            .fold(Resources.NONE) { sum, step -> sum + step.accountDemand * step.tasks.count { it.isUnplaced } }
+            .fold(Resources.NONE) { sum, step -> sum.plusTasks(step.accountDemand, step.tasks.count { it.isUnplaced }) }
         return registry.unreportedCapacity?.let { wanted.atMost(it) } ?: wanted
     }
 
@@ -22,6 +25,16 @@
         !context.confirmation.isNewerThanTerm(job) && registry.mayHaveUnknownRuns(job.id)
 }
 
+/** Adds [count] tasks of [size]; amounts beyond [MAX_AMOUNT] count as that. */
+private fun Resources.plusTasks(size: Resources, count: Int) = Resources(
+    plusBounded(processorsMillicores, size.processorsMillicores, count),
+    plusBounded(memoryBytes, size.memoryBytes, count),
+    plusBounded(accelerators, size.accelerators, count),
+)
+
+private fun plusBounded(sum: Long, amount: Long, count: Int): Long =
+    if (count > 0 && amount > (MAX_AMOUNT - sum) / count) MAX_AMOUNT else sum + amount * count
+
 private val TrackedTask.isUnplaced: Boolean get() = !isDone && placement == null
 
 private fun Resources.atMost(other: Resources) = Resources(
