--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -137,6 +137,16 @@
         if (hasReportedAll) jobsWhenUnreachable = placedJobs()
     }
 
+    /**
+     * The leases of former leaders have expired: nothing but runs of this leader may be here before the worker has
+     * answered. True if the stored roster did not say so.
+     */
+    fun recordIdleUntilAnswer(): Boolean {
+        if (isContacted || isReachable || jobsWhenUnreachable != null) return false
+        jobsWhenUnreachable = placedJobs()
+        return true
+    }
+
     /** Takes over the listed entry; on a draining worker nothing new starts, so its jobs are fixed from then on. */
     fun update(listed: WorkerEntry) {
         if (!listed.isDraining) jobsWhenDraining = null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -106,7 +106,7 @@
 
     fun apply(change: WorkerChange) {
         val entry = change.entry
-        if (entry == null) return context.workerPool.withId(change.workerId).forEach { unlist(it) }
+        if (entry == null) return context.workerPool.withId(change.workerId).forEach { unlist(it, change.isMalformed) }
         val others = context.workerPool.withId(change.workerId)
         if (others.any { it.incarnation.startedAtMs > entry.incarnation.startedAtMs }) return
         val known = context.workerPool.find(entry.incarnation)
@@ -147,11 +147,17 @@
      * A missing entry does not prove that its worker has ended: the entry also expires if the worker cannot reach the
      * store, and the worker goes on with its tasks.
      */
-    private fun unlist(worker: TrackedWorker) {
+    private fun unlist(worker: TrackedWorker, isMalformed: Boolean) {
         val now = context.clock()
         worker.isListed = false
-        if (now - directoryFailedAtMs < LISTING_GRACE_MS) worker.goneIfSilentAtMs = now + LISTING_GRACE_MS
-        context.log.event("worker_unlisted", "worker" to worker.id, "draining" to worker.entry.isDraining)
+        val isInOutage = now - directoryFailedAtMs < LISTING_GRACE_MS
+        if (isInOutage && !isMalformed) worker.goneIfSilentAtMs = now + LISTING_GRACE_MS
+        context.log.event(
+            "worker_unlisted",
+            "worker" to worker.id,
+            "draining" to worker.entry.isDraining,
+            "malformed" to isMalformed.takeIf { it },
+        )
         removeIfDeparted(worker)
     }
 
@@ -198,6 +204,7 @@
                 areFormerLeasesOver(now)
             }
             if (!isOver) continue
+            if (worker.recordIdleUntilAnswer()) context.wakeJournal()
             val (open, expired) = worker.placements.partition { !it.isReported && now < it.leaseOverAtMs }
             if (!worker.isListed && open.isEmpty()) {
                 markGone(worker, "the worker is not listed and does not answer")
