Log what an owner of a data centre depends on

The log now has a line, one per change, for the deputy, a lease that was not granted and why, the owner row not being reachable, and processes that appear in or leave the list of processes. The line of a lost ownership names the leases of all rows that the table may hold.

--- a/ownership/src/main/kotlin/dev/bronzeshore/ownership/DataCentreOwnership.kt
+++ b/ownership/src/main/kotlin/dev/bronzeshore/ownership/DataCentreOwnership.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
-import org.tinylog.Logger
 
 /**
  * Ownership state of one data centre in one process; all calls are made on the control thread.
@@ -33,6 +32,7 @@
     private val onGained: (OwnershipGained) -> Unit = {},
     private val onLost: (term: Long) -> Unit = {},
 ) {
+    private val log = OwnershipLog(dataCentre, self)
     private val stateMachine =
         OwnershipStateMachine(dataCentre, self, members, isGone, OwnershipCallbacks(::notifyGained, ::notifyLost))
     private val key = ownerRowKey(dataCentre)
@@ -67,10 +67,14 @@
             calls.forEach { call -> launch { requestDeputyLease(call) } }
         }
         stateMachine.evaluate(clock())
+        log.deputy(stateMachine.row?.takeIf { it.ownerId == self.processId }?.deputyId)
     }
 
-    public fun onDeputyLeaseRequest(request: DeputyLeaseRequest): DeputyLeaseResponse =
-        stateMachine.onDeputyLeaseRequest(request, clock())
+    public fun onDeputyLeaseRequest(request: DeputyLeaseRequest): DeputyLeaseResponse {
+        val response = stateMachine.onDeputyLeaseRequest(request, clock())
+        log.refusal(stateMachine.lastRefusal)
+        return response
+    }
 
     /** Ticks at once if the message names this process as the next owner. */
     public suspend fun onHandover(message: OwnershipHandover) {
@@ -96,7 +100,10 @@
 
     private suspend fun runTableSteps(first: () -> TableStep) {
         val finished = withTimeoutOrNull(TABLE_CALL_TIMEOUT_MS) { executeSteps(first()) }
-        if (finished == null) stateMachine.onTableTimeout(clock())
+        if (finished == null) {
+            log.table("no response within $TABLE_CALL_TIMEOUT_MS ms")
+            stateMachine.onTableTimeout(clock())
+        }
     }
 
     private suspend fun executeSteps(first: TableStep) {
@@ -104,15 +111,22 @@
         while (step != TableStep.Done) {
             step =
                 when (val current = step) {
-                    is TableStep.Read -> stateMachine.onRead(table.read(key), clock())
+                    is TableStep.Read -> read()
                     is TableStep.Write -> write(current)
                     is TableStep.Done -> current
                 }
         }
     }
 
+    private suspend fun read(): TableStep {
+        val result = table.read(key)
+        log.table(result.leftOrNull()?.message)
+        return stateMachine.onRead(result, clock())
+    }
+
     private suspend fun write(step: TableStep.Write): TableStep {
         val result = table.write(step.transaction)
+        log.table(result.leftOrNull()?.message)
         return stateMachine.onWritten(step.transaction.writeId, result, clock())
     }
 
@@ -120,17 +134,24 @@
         repeat(DEPUTY_CALL_ATTEMPTS) {
             val result = withTimeoutOrNull(DEPUTY_CALL_TIMEOUT_MS) { callDeputy(call.deputy, call.request) }
             val response = result?.getOrNull()
+            log.lease(call.deputy.processId, leaseFault(result))
             if (response != null) return stateMachine.onDeputyLeaseResponse(response, clock())
         }
     }
 
+    private fun leaseFault(result: Either<Fault, DeputyLeaseResponse>?): String? = when (result) {
+        null -> "no response within $DEPUTY_CALL_TIMEOUT_MS ms"
+        is Either.Left -> result.value.message
+        is Either.Right -> "it refused".takeUnless { result.value.granted }
+    }
+
     private fun notifyGained(gained: OwnershipGained) {
-        Logger.info("ownership: {} owns {} in term {}", self.processId, dataCentre, gained.term)
+        log.gained(gained.term)
         onGained(gained)
     }
 
     private fun notifyLost(term: Long) {
-        Logger.info("ownership: {} no longer owns {} (term {})", self.processId, dataCentre, term)
+        log.lost(term, stateMachine.describeLeases(clock()))
         onLost(term)
     }
 }
--- a/ownership/src/main/kotlin/dev/bronzeshore/ownership/DeputyLeaseGrantor.kt
+++ b/ownership/src/main/kotlin/dev/bronzeshore/ownership/DeputyLeaseGrantor.kt
@@ -12,20 +12,33 @@
     var latestGrantedUntilMs: Long = 0
         private set
 
+    /** Why the last request was refused; null if it was granted. */
+    var lastRefusal: String? = null
+        private set
+
     fun respond(request: DeputyLeaseRequest, nowMs: Long): DeputyLeaseResponse {
         val untilMs = boundedUntilMs(request, nowMs)
-        val granted = !mustRefuse(request) && untilMs > nowMs
+        val refusal = refusalOf(request) ?: "it ended at $untilMs".takeIf { untilMs <= nowMs }
+        lastRefusal = refusal
+        val granted = refusal == null
         if (granted) latestGrantedUntilMs = maxOf(latestGrantedUntilMs, untilMs)
         return DeputyLeaseResponse(dataCentre, request.term, self.processId, granted, if (granted) untilMs else 0)
     }
 
     /** A request with a later term proves that an uncertain takeover of an earlier term can no longer take effect. */
-    private fun mustRefuse(request: DeputyLeaseRequest): Boolean {
-        if (request.dataCentre != dataCentre || request.deputyId != self.processId) return true
-        val term = rowTracker.row?.term ?: 0
-        if (request.term != term) return request.term < term
+    private fun refusalOf(request: DeputyLeaseRequest): String? {
+        val row = rowTracker.row
+        val term = row?.term ?: 0
         val isTakeoverUncertain = rules.refusesLeasesDuringTakeover && !rowTracker.isCertain
-        return isTakeoverUncertain || rowTracker.row?.ownerId == self.processId
+        return when {
+            request.dataCentre != dataCentre -> "it is for ${request.dataCentre}"
+            request.deputyId != self.processId -> "it is for the process ${request.deputyId}"
+            request.term < term -> "term ${request.term} is over, the known term is $term"
+            request.term > term -> null
+            isTakeoverUncertain -> "the outcome of a takeover from term $term is unknown"
+            row?.ownerId == self.processId -> "this process owns the data centre in term $term"
+            else -> null
+        }
     }
 
     /** Limits a lease to one lease period from now, and to the time from which any process may take over. */
--- a/ownership/src/main/kotlin/dev/bronzeshore/ownership/MemberDirectory.kt
+++ b/ownership/src/main/kotlin/dev/bronzeshore/ownership/MemberDirectory.kt
@@ -4,6 +4,7 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import dev.bronzeshore.core.ClockMs
+import dev.bronzeshore.core.ComponentLog
 import dev.bronzeshore.core.Fault
 import dev.bronzeshore.core.MAX_CLOCK_SKEW_MS
 import dev.bronzeshore.core.Put
@@ -29,6 +30,7 @@
 
 /** Writes the row of this process and reads the others; keeps the last known members while the table is unavailable. */
 public class MemberDirectory(private val self: Member, private val clock: ClockMs, private val table: TableApi) {
+    private val log = ComponentLog("ownership")
     private var others: List<Member> = emptyList()
     private var writeCount = 0L
 
@@ -51,13 +53,22 @@
     public suspend fun refresh(): Either<Fault, List<Member>> = either {
         val rows = readAll().bind()
         val nowMs = clock()
-        others = rows
+        val live = rows
             .filter { it.member.processId != self.processId && nowMs < it.liveUntilMs + MAX_CLOCK_SKEW_MS }
             .map { it.member }
+        logChange(live)
+        others = live
         deleteOld(rows, nowMs)
         members
     }
 
+    private fun logChange(live: List<Member>) {
+        val added = (live - others.toSet()).map { it.processId }
+        val removed = (others - live.toSet()).map { it.processId }
+        if (added.isNotEmpty()) log.info { "Processes found: ${added.joinToString()}" }
+        if (removed.isNotEmpty()) log.info { "Processes without a live row: ${removed.joinToString()}" }
+    }
+
     private suspend fun readAll(): Either<Fault, List<ProcessRow>> = either {
         val found = ArrayList<ProcessRow>()
         var range = RowRange(PROCESS_PREFIX)
--- a/ownership/src/main/kotlin/dev/bronzeshore/ownership/OwnershipStateMachine.kt
+++ b/ownership/src/main/kotlin/dev/bronzeshore/ownership/OwnershipStateMachine.kt
@@ -37,6 +37,9 @@
 
     val row: OwnerRow? get() = rowTracker.row
 
+    /** Why this process refused the last lease that an owner requested; null if it granted the lease. */
+    val lastRefusal: String? get() = leaseGrantor.lastRefusal
+
     private val ownsRow: Boolean get() = row?.ownerId == self.processId
 
     /** Time until which this process may act, whichever of the possible rows the table holds. */
@@ -51,6 +54,12 @@
         return maxOf(row.leaseUntilMs, minOf(deputyLeases.untilMs(row.deputyId), limitMs))
     }
 
+    /** The leases of all rows that the table may hold, for the log. */
+    fun describeLeases(nowMs: Long): String = rowTracker.possibleRows.joinToString("; ") { row ->
+        val fromDeputy = row.deputyId?.let { "$it: ${deputyLeases.untilMs(it) - nowMs} ms" } ?: "none"
+        "lease: ${row.leaseUntilMs - nowMs} ms, from deputy $fromDeputy"
+    }
+
     fun mayAct(nowMs: Long): Boolean = heldTerm != null && heldTerm == row?.term && nowMs < actUntilMs()
 
     /** Compares the deadlines with the clock and invokes the callbacks when ownership is gained or lost. */
