Keep a deputy that grants leases although its process row has expired

Cause: a renewal named no deputy as soon as the deputy was missing in the list of processes. That list is empty when the rows have expired in an outage, and also when the table answers a range read with 404, which counted as an empty list. The next renewal that was sent, because a read of the owner row was answered with 404 as well or because the table was back for a moment, had an unknown outcome. From then on the owner could rely on no deputy lease: it had to assume that the table holds the row without a deputy.

Change: the owner keeps the deputy named in the row while that deputy grants leases. It is still dropped once it has neither a live row nor a lease, so that a later process does not have to wait for TABLE_OUTAGE_LIMIT_MS.

The new test failed in both cases before the change (lost term 1) and passes with it.

--- a/ownership/src/main/kotlin/dev/bronzeshore/ownership/OwnershipStateMachine.kt
+++ b/ownership/src/main/kotlin/dev/bronzeshore/ownership/OwnershipStateMachine.kt
@@ -145,11 +145,14 @@
         return current.copy(deputyId = nextDeputyId(current, nowMs), leaseUntilMs = leaseUntilMs)
     }
 
+    /** Keeps a deputy that grants leases although its process row has expired: no row is renewed in a table outage. */
     private fun nextDeputyId(current: OwnerRow, nowMs: Long): String? {
         val candidate = deputyLeases.candidate?.processId
+        val neededUntilMs = nowMs + rules.clockSkewMs
         return when {
             !isTableAvailable -> current.deputyId
-            candidate != null && deputyLeases.untilMs(candidate) > nowMs + rules.clockSkewMs -> candidate
+            candidate != null && deputyLeases.untilMs(candidate) > neededUntilMs -> candidate
+            deputyLeases.untilMs(current.deputyId) > neededUntilMs -> current.deputyId
             deputyLeases.otherMembers().none { it.processId == current.deputyId } -> candidate
             else -> current.deputyId
         }
--- a/ownership/src/test/kotlin/dev/bronzeshore/ownership/DataCentreOwnershipTest.kt
+++ b/ownership/src/test/kotlin/dev/bronzeshore/ownership/DataCentreOwnershipTest.kt
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 
 /** Guards the calls of the coroutines: an owner `a1` and a deputy `b1` share a fake table and one fake clock. */
 class DataCentreOwnershipTest {
@@ -24,6 +26,9 @@
             Member("b1", "b", "north", "b1:1"),
             Member("c1", "c", "south", "c1:1"),
         )
+
+    /** Processes with a live process row. */
+    private var listed = everybody
     private val reachable = everybody.map { it.processId }.toMutableSet()
     private val gained = ArrayList<Pair<String, OwnershipGained>>()
     private val lost = ArrayList<Pair<String, Long>>()
@@ -44,7 +49,7 @@
                 fault(ResultCode.PEER_UNAVAILABLE).left()
             }
         },
-        members = { everybody },
+        members = { listed },
         onGained = { gained += self.processId to it },
         onLost = { lost += self.processId to it },
     )
@@ -92,6 +97,40 @@
         assertFalse(owner.mayAct())
     }
 
+    /**
+     * Guards against an owner that drops its deputy because no process row was renewed during an outage.
+     *
+     * The owner notices it when the table is available for one tick, or when a read during the outage finds no row.
+     */
+    @ParameterizedTest
+    @EnumSource(TableMode::class, names = ["UP", "ROWS_MISSING"])
+    internal fun `a deputy whose process row has expired is kept while it grants leases`(modeOfOneTick: TableMode) {
+        start()
+        listOf(
+            TableMode.UNKNOWN_NOT_APPLIED to 8_000L,
+            modeOfOneTick to RENEWAL_PERIOD_MS,
+        ).forEach { (mode, periodMs) ->
+            table.mode = mode
+            run(periodMs, "a1", "b1", "c1")
+            listed = everybody.take(1)
+        }
+        table.mode = TableMode.UNKNOWN_NOT_APPLIED
+        run(8_000, "a1", "b1", "c1")
+        assertEquals(emptyList<Any>(), lost)
+        assertTrue(owner.mayAct())
+    }
+
+    /** Guards against a data centre that no later process may take over because a gone deputy stays named. */
+    @Test
+    fun `a deputy without a process row and without leases is dropped`() {
+        start()
+        listed = everybody.take(1)
+        reachable.clear()
+        run(LEASE_MS + RENEWAL_PERIOD_MS, "a1")
+        assertTrue(owner.mayAct())
+        assertNull(owner.state.deputyId)
+    }
+
     @Test
     fun `a slow table does not delay a deputy lease, guards against calls in sequence`() {
         start()
--- a/ownership/src/test/kotlin/dev/bronzeshore/ownership/FakeTable.kt
+++ b/ownership/src/test/kotlin/dev/bronzeshore/ownership/FakeTable.kt
@@ -11,7 +11,8 @@
 import dev.bronzeshore.core.Transaction
 import dev.bronzeshore.core.WriteResult
 
-internal enum class TableMode { UP, DOWN, RESPONSE_LOST, UNKNOWN_NOT_APPLIED }
+/** [ROWS_MISSING] is an outage in which reads find no row. */
+internal enum class TableMode { UP, DOWN, ROWS_MISSING, RESPONSE_LOST, UNKNOWN_NOT_APPLIED }
 
 /** Table in memory; [beforeCall] lets a test delay a call. */
 internal class FakeTable {
@@ -23,7 +24,11 @@
         TableApi(
             read = { key ->
                 beforeCall()
-                if (mode == TableMode.UP) rows[key].right() else fault(ResultCode.STORE_UNAVAILABLE).left()
+                when (mode) {
+                    TableMode.UP -> rows[key].right()
+                    TableMode.ROWS_MISSING -> null.right()
+                    else -> fault(ResultCode.STORE_UNAVAILABLE).left()
+                }
             },
             readRange = { range ->
                 beforeCall()
@@ -50,7 +55,7 @@
             fault(ResultCode.WRITE_UNKNOWN).left()
         }
 
-        TableMode.UNKNOWN_NOT_APPLIED -> fault(ResultCode.WRITE_UNKNOWN).left()
+        TableMode.UNKNOWN_NOT_APPLIED, TableMode.ROWS_MISSING -> fault(ResultCode.WRITE_UNKNOWN).left()
     }
 
     fun apply(transaction: Transaction): WriteResult {
