--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -22,8 +22,8 @@
     private val crashes: CrashAttribution,
 ) {
     /**
-     * Processes a report that was requested at [requestedAtMs]. One of a removed worker is left aside, as nobody polls it
-     * any more; if it is listed again, its next report tells the same.
+     * Processes a report that was requested at [requestedAtMs]. One of a removed worker is left aside, as nobody polls
+     * it any more; if it is listed again, its next report tells the same.
      */
     fun handle(worker: TrackedWorker, report: HoldAnswer.Report, requestedAtMs: Long) {
         if (worker.isGone) return
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -102,8 +102,8 @@
     }
 
     /**
-     * The end to acknowledge, or 0 if none is new. Another incarnation under the same id would forget ends of its own, so
-     * an end is acknowledged only right after a report of this one, and once.
+     * The end to acknowledge, or 0 if none is new. Another incarnation under the same id would forget ends of its own,
+     * so an end is acknowledged only right after a report of this one, and once.
      */
     private fun newlyAcknowledgedEnd(): Long =
         worker.acknowledgedEnd.takeIf { it > confirmedEnd && worker.isReachable && !worker.isSuspect } ?: 0
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/UnlistedWorkerTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/UnlistedWorkerTest.kt
@@ -50,7 +50,7 @@
         awaitUntil { simulation.workers.checker.starts == 4 }
         simulation.workers.drain("w0")
         delay(STEP_MS)
-        simulation.workers.leave("w0")
+        simulation.workers.crash("w0", isRefusing = true)
         simulation.unlist("w0")
         awaitUntil(withinMs = 2 * STEP_MS) { simulation.workers.checker.starts == 6 }
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -81,12 +81,6 @@
         onChange(WorkerChange(workerId, entry))
     }
 
-    /** Ends a worker, whose machine refuses connections from then on; its entry stays. */
-    public fun leave(workerId: String) {
-        crash(workerId)
-        refusing += workerId
-    }
-
     /** Changes the capacity of a running worker, which keeps its runs even if they need more. */
     public fun resize(workerId: String, capacity: Resources) {
         val model = workers.getValue(workerId)
@@ -94,9 +88,10 @@
         onChange(WorkerChange(workerId, model.entry))
     }
 
-    /** Ends the incarnation of a worker; its runs are lost. */
-    public fun crash(workerId: String) {
+    /** Ends the incarnation of a worker; its runs are lost. Calls get no answer, or are refused if [isRefusing]. */
+    public fun crash(workerId: String, isRefusing: Boolean = false) {
         workers.remove(workerId)?.crash()
+        if (isRefusing) refusing += workerId
     }
 
     /** Ends the incarnation of a worker and starts the next one, unannounced, under the same id and address at once. */
