Count former leases from the first polls, and name jobs until their ends are stored

Callers saw tasks run twice after takeovers, in three further orders of events (DuplicateRunTest, red before: leases of a former leader that cannot reach the store, a recovery that outlasts the former leases, the stored roster).

The time after which former leases are over began with the term, although the workers were polled only after everything had been read, and a former leader without the store renews leases until a worker refuses its token. It now begins with the first polls and includes the 2.5 s of the former leader's last poll. The stored roster left out jobs whose ends had been reported but not stored; it names them until then. A run on a silent worker that may be the next incarnation's is given up by the same rule as the other leases.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -59,6 +59,7 @@
         workers.rows.map { dependencies.workers.decode(it) }.forEach { registry.addListed(it) }
         journal.adopt(roster, notes.rows.firstOrNull { it.id == Tables.JOURNAL_ROW }?.version ?: 0)
         roster.forEach { registry.addFormer(it) }
+        registry.onLoaded()
         notes.rows.firstOrNull { it.id == Tables.SPEEDS_ROW }?.let { restoreSpeeds(it) }
         context.log.event(
             "recovery_loaded",
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -75,7 +75,7 @@
             worker.removeStray(end.run)
             lifecycle.endedWithoutPlacement(worker, end)
         }
-        worker.unsavedEnds += UnsavedEnd(end.number, context.changes.lastNumber())
+        worker.unsavedEnds += UnsavedEnd(end.number, context.changes.lastNumber(), end.run.task.jobId)
     }
 
     private fun handleRunning(worker: TrackedWorker, running: RunningTask, evidence: RunEvidence) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -7,7 +7,7 @@
 import dev.bronzeshore.core.cluster.WorkerIncarnation
 
 /** A reported end that is not acknowledged before the progress of its job is stored. */
-internal data class UnsavedEnd(val number: Long, val changeNumber: Long)
+internal data class UnsavedEnd(val number: Long, val changeNumber: Long, val jobId: String)
 
 /** What a run takes from its worker and from its client account; [account] is null if it is not known. */
 internal data class StrayRun(val demand: Resources, val account: String? = null, val accountDemand: Resources = demand)
@@ -155,7 +155,9 @@
         entry = listed
     }
 
-    private fun placedJobs(): Set<String> = (placed.keys + strays.keys).mapTo(HashSet()) { it.task.jobId }
+    /** Jobs whose tasks may be running here, or have ended here without a stored end. */
+    private fun placedJobs(): Set<String> =
+        (placed.keys + strays.keys).mapTo(HashSet()) { it.task.jobId } + unsavedEnds.map { it.jobId }
 
     /** The job for the stored roster whose suspected tasks may run here. */
     val trialJobId: String? get() = trial?.job?.id ?: formerTrialJob?.takeUnless { isContacted }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -13,6 +13,12 @@
 /** A worker's clock may run slow, so that its leases last longer by up to this factor. */
 private const val SLOW_CLOCK_FACTOR = 1.03
 
+/**
+ * A former leader that cannot reach the store goes on renewing leases until a worker refuses its fencing token, which the
+ * first of its polls does that reaches a worker after the first poll of this leader. A poll takes up to 2.2 s.
+ */
+private const val FORMER_LEADER_STOPS_WITHIN_MS = 2_500L
+
 /** Entries that expired in an outage of the store are back about two seconds after its end if their workers live. */
 private const val LISTING_GRACE_MS = 2_500L
 
@@ -23,15 +29,14 @@
     private val jobLookup: JobLookup,
     private val crashes: CrashAttribution,
 ) {
-    private val startedAtMs = context.clock()
     private var directoryFailedAtMs = Long.MIN_VALUE / 2
 
     /** Longest time from the grant of a lease until the runs under it have ended. */
     private val leaseTimeMs =
         (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs + LEASE_MARGIN_MS
 
-    /** Monotonic time after which all leases that a former leader granted have expired. */
-    private val formerLeasesUntilMs = startedAtMs + leaseTimeMs
+    /** Monotonic time after which all leases that a former leader granted have expired; not known before [onLoaded]. */
+    private var formerLeasesUntilMs = Long.MAX_VALUE
 
     /** Workers that a former leader may have used, with the jobs that may run there; null stands for any job. */
     private val formerWorkers = HashMap<TrackedWorker, Set<String>?>()
@@ -42,6 +47,11 @@
     private val unreportedWorkers: List<TrackedWorker>
         get() = context.clock().let { now -> formerWorkers.keys.filter { mayHaveUnknownRuns(it, now) } }
 
+    /** All workers that a former leader may have used are known and polled from now on. */
+    fun onLoaded() {
+        formerLeasesUntilMs = context.clock() + FORMER_LEADER_STOPS_WITHIN_MS + leaseTimeMs
+    }
+
     /** Leases of a worker with further ends do not expire with those of the former leader: this leader renews them. */
     private fun mayHaveUnknownRuns(worker: TrackedWorker, now: Long): Boolean = when {
         worker.isGone || worker.hasReportedAll -> false
@@ -205,7 +215,7 @@
             }
             if (!isOver) continue
             if (worker.recordIdleUntilAnswer()) context.wakeJournal()
-            val (open, expired) = worker.placements.partition { !it.isReported && now < it.leaseOverAtMs }
+            val (open, expired) = worker.placements.partition { !it.isReported && !isLeaseOver(it, now) }
             if (!worker.isListed && open.isEmpty()) {
                 markGone(worker, "the worker is not listed and does not answer")
                 continue
@@ -216,9 +226,9 @@
         if (context.confirmation.isExpiryOpen) context.wakeJournal()
     }
 
-    /** Time by which the run has ended for certain if the next incarnation of the worker has carried out its start. */
-    private val Placement.leaseOverAtMs: Long
-        get() = orderedAtMs + START_VALIDITY_MS + leaseTimeMs
+    /** The run has ended for certain also if the next incarnation of the worker has carried out its start. */
+    private fun isLeaseOver(placement: Placement, now: Long) =
+        context.confirmation.haveExpired(now) { it >= placement.orderedAtMs + START_VALIDITY_MS + leaseTimeMs }
 
     private fun markGone(worker: TrackedWorker, reason: String) {
         worker.isGone = true
