--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/Soak.kt
@@ -0,0 +1,94 @@
+/** Runs one seed of the soak: jobs under faults, a quiet time until all jobs have ended, and a report. */
+package dev.bronzeshore.server.soak
+
+import java.nio.file.Path
+
+private const val WARM_UP_MS = 3_000L
+private const val QUIET_MS = 60_000L
+private const val JOBS_PER_SECOND = 22
+
+/** Log lines of processes this long before and after a violation belong to its report. */
+private const val REPORT_BEFORE_MS = 15_000L
+private const val REPORT_AFTER_MS = 1_500L
+private val REPORTED_EVENTS = listOf(
+    "worker_", "takeover", "gained", "\"lost\"", "recovery_", "released", "start_un", "journal_failed", "run_lost",
+    "renewal_failed", "fenced", "run_adopted",
+)
+
+internal data class SoakOptions(
+    val seed: Long,
+    val faultsMs: Long,
+    val kinds: List<SoakFaultKind> = SoakFaultKind.entries,
+    val processCount: Int = 6,
+    val workerCount: Int = 24,
+)
+
+internal class SoakResult(val violations: List<SoakViolation>, val summary: String, val report: List<String>)
+
+internal class Soak(private val options: SoakOptions, private val folder: Path) {
+    private val deployment = SoakDeployment(options.seed, folder, options.processCount, options.workerCount)
+    private val log get() = deployment.log
+    private val checker get() = deployment.checker
+
+    fun run(): SoakResult = deployment.use {
+        deployment.start()
+        deployment.clients.startSubmitting(JOBS_PER_SECOND)
+        deployment.awaitUntil(WARM_UP_MS) { false }
+        SoakFaultInjector(deployment, options.seed).use { injector ->
+            injector.schedule(drawFaults(options.seed, options.kinds, options.faultsMs))
+            deployment.awaitUntil(options.faultsMs) { false }
+        }
+        log.add("faults have ended")
+        deployment.awaitUntil(WARM_UP_MS) { false }
+        deployment.clients.stopSubmitting()
+        deployment.awaitUntil(QUIET_MS) { openJobs().isEmpty() }
+        openJobs().forEach { checker.report("LOST", it.id, "job ${it.path} is ${it.state.ifEmpty { "not shown" }}") }
+        result()
+    }
+
+    private fun openJobs() = deployment.clients.jobs.filter { it.isAccepted && !it.isEnded && !it.isCancelSent }
+
+    private fun result(): SoakResult {
+        val states = deployment.clients.jobs.groupingBy { it.state }.eachCount()
+        val violations = checker.violations
+        val rules = violations.groupingBy { it.rule }.eachCount()
+        val summary = "seed ${options.seed}: violations $rules, starts ${checker.starts}, ends ${checker.ends()}, " +
+            "jobs $states, ${log.nowMs / 1000} s"
+        return SoakResult(violations, summary, listOf(summary) + if (violations.isEmpty()) emptyList() else report())
+    }
+
+    private fun report(): List<String> {
+        val lines = ArrayList<String>()
+        lines += "== events of the soak"
+        lines += log.lines
+        for (violation in checker.violations.distinctBy { it.task }.take(12)) {
+            lines += "== ${violation.atMs} ${violation.rule} ${violation.task}: ${violation.text}"
+            lines += checker.runsOf(violation.task).map { "   run $it" }
+            lines += logLinesOf(violation)
+        }
+        return lines
+    }
+
+    private fun logLinesOf(violation: SoakViolation): List<String> {
+        val runs = checker.runsOf(violation.task)
+        val fromMs = (runs.minOfOrNull { it.startedAtMs } ?: violation.atMs) - REPORT_BEFORE_MS
+        return deployment.processes.flatMap { process ->
+            process.logLines.mapNotNull { line ->
+                val atMs = log.fromWallMs(AT_MS.find(line)?.groupValues?.get(1)?.toLong() ?: return@mapNotNull null)
+                val isNear = atMs in fromMs..violation.atMs + REPORT_AFTER_MS
+                val isEvent = isNear && REPORTED_EVENTS.any { it in line }
+                if (isEvent ||
+                    violation.task in line
+                ) {
+                    atMs to "   $atMs ${process.name} ${line.substringAfter(" INFO ")}"
+                } else {
+                    null
+                }
+            }
+        }.sortedBy { it.first }.map { it.second }
+    }
+
+    private companion object {
+        val AT_MS = Regex("\"at_ms\":(\\d+)")
+    }
+}
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFaults.kt
@@ -0,0 +1,208 @@
+/** Injects faults into a deployment by a plan that is drawn from the seed. */
+package dev.bronzeshore.server.soak
+
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+private const val STOP_GRACE_MS = 6_000L
+private const val MAX_ABSENT_SHARE = 3
+private const val MAX_FAULTS_IN_SERIES = 4
+
+internal enum class SoakFaultKind {
+    WORKER_CRASH,
+    WORKER_RESTART,
+    WORKER_RESTART_SILENT,
+    DRAIN,
+    DRAIN_CUT_FROM_STORE,
+    LEADER_KILL,
+    LEADER_FREEZE,
+    LEADER_STOP,
+    OTHER_KILL,
+    WORKER_CUT_FROM_STORE,
+    WORKER_CUT_FROM_LEADER,
+    WORKER_CUT,
+    START_ANSWERS_LOST,
+    STORE_DOWN,
+    STORE_SILENT,
+    STORE_SLOW,
+    STORE_ANSWERS_LOST,
+    STORE_REFUSES_LEADER,
+    STORE_SILENT_TO_LEADER,
+    STORE_HISTORY_DROPPED,
+}
+
+/** A fault that lasts for [durationMs] and hits the worker with number [target], if it is one of a worker. */
+internal class SoakFault(val atMs: Long, val kind: SoakFaultKind, val durationMs: Long, val target: Int)
+
+/** Draws series of faults that overlap; each series repeats one kind, and consecutive series use few kinds. */
+internal fun drawFaults(seed: Long, kinds: List<SoakFaultKind>, untilMs: Long): List<SoakFault> {
+    val random = Random(seed)
+    val chosen = kinds.shuffled(random).take(random.nextInt(2, 7))
+    val faults = ArrayList<SoakFault>()
+    var atMs = 500L
+    while (atMs < untilMs) {
+        val kind = chosen.random(random)
+        repeat(random.nextInt(1, MAX_FAULTS_IN_SERIES)) {
+            faults += SoakFault(atMs, kind, random.nextLong(300, 6_000), random.nextInt(1_000))
+            atMs += random.nextLong(20, 900)
+        }
+        atMs += random.nextLong(50, 3_000)
+    }
+    return faults
+}
+
+internal class SoakFaultInjector(private val deployment: SoakDeployment, seed: Long) : AutoCloseable {
+    private val random = Random(seed)
+    private val executor = Executors.newScheduledThreadPool(24) { Thread(it).apply { isDaemon = true } }
+    private val log get() = deployment.log
+    private val store get() = deployment.store.faults
+
+    fun schedule(faults: List<SoakFault>) = faults.forEach { after(it.atMs) { inject(it) } }
+
+    private fun after(delayMs: Long, work: () -> Unit) {
+        executor.schedule(
+            { runCatching(work).onFailure { log.add("fault injection failed: $it") } },
+            delayMs,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    private fun pick(from: Long, until: Long): Long = synchronized(random) { random.nextLong(from, until) }
+
+    private fun inject(fault: SoakFault) {
+        log.add("fault ${fault.kind} for ${fault.durationMs} ms")
+        if (fault.kind < SoakFaultKind.STORE_DOWN) injectAtMachine(fault) else injectAtStore(fault)
+    }
+
+    private fun injectAtMachine(fault: SoakFault) {
+        val untilMs = log.nowMs + fault.durationMs
+        when (fault.kind) {
+            SoakFaultKind.LEADER_KILL -> deployment.leader()?.let { killAndRestart(it, fault.durationMs) }
+            SoakFaultKind.LEADER_FREEZE -> deployment.leader()?.let { freeze(it, fault.durationMs) }
+            SoakFaultKind.LEADER_STOP -> deployment.leader()?.let { stopAndRestart(it) }
+            SoakFaultKind.OTHER_KILL -> killAndRestart(deployment.processes.random(), fault.durationMs)
+            else -> workerFor(fault)?.let { injectAtWorker(it, fault, untilMs) }
+        }
+    }
+
+    /** A worker that is up; null while too many are absent or about to leave. */
+    private fun workerFor(fault: SoakFault): SoakWorker? {
+        val workers = deployment.workers.filter { it.id != null && !it.isDraining }
+        if (workers.size < deployment.workers.size - deployment.workers.size / MAX_ABSENT_SHARE) return null
+        return workers[fault.target % workers.size]
+    }
+
+    private fun injectAtWorker(worker: SoakWorker, fault: SoakFault, untilMs: Long) {
+        val id = worker.id ?: return
+        log.add("  at worker $id")
+        when (fault.kind) {
+            SoakFaultKind.WORKER_CRASH -> {
+                worker.crash()
+                after(fault.durationMs) { worker.startIfDown(deployment.newWorkerId()) }
+            }
+
+            SoakFaultKind.WORKER_RESTART -> {
+                worker.crash("restarts, connections are reset")
+                after(if (fault.target % 2 == 0) 10 else fault.durationMs / 2) { worker.startIfDown(id) }
+            }
+
+            SoakFaultKind.WORKER_RESTART_SILENT -> worker.restartSilently()
+
+            SoakFaultKind.DRAIN, SoakFaultKind.DRAIN_CUT_FROM_STORE -> {
+                val leavesAfterMs = pick(2_000, 14_000)
+                worker.drain(leavesAfterMs)
+                if (fault.kind == SoakFaultKind.DRAIN_CUT_FROM_STORE) {
+                    worker.faults.cutFromStoreUntilMs = log.nowMs + pick(4_000, 9_000)
+                }
+                after(leavesAfterMs + pick(500, 4_000)) { worker.startIfDown(deployment.newWorkerId()) }
+            }
+
+            SoakFaultKind.WORKER_CUT_FROM_STORE -> worker.faults.cutFromStoreUntilMs = untilMs + 3_000
+
+            SoakFaultKind.WORKER_CUT_FROM_LEADER -> worker.cut(deployment.fleet.newestTerm, untilMs)
+
+            SoakFaultKind.WORKER_CUT -> worker.cut(Long.MAX_VALUE, log.nowMs + 2 * fault.durationMs)
+
+            else -> {
+                worker.faults.lostStartShare = 0.7
+                worker.faults.lateStartShare = 0.5
+                after(fault.durationMs) { worker.faults.lostStartShare = 0.0 }
+            }
+        }
+    }
+
+    private fun SoakWorker.startIfDown(newId: String) {
+        if (id == null) start(newId)
+    }
+
+    private fun SoakWorker.cut(term: Long, untilMs: Long) {
+        faults.silentToTerm = term
+        faults.silentUntilMs = untilMs
+    }
+
+    private fun killAndRestart(process: SoakProcess, downMs: Long) {
+        process.kill()
+        log.add("process ${process.name} was killed")
+        after(if (downMs < 3_000) 20 else downMs / 2) { process.start() }
+    }
+
+    private fun freeze(process: SoakProcess, durationMs: Long) {
+        process.signal("STOP")
+        log.add("process ${process.name} was paused")
+        after(durationMs) {
+            process.signal("CONT")
+            log.add("process ${process.name} continues")
+        }
+    }
+
+    private fun stopAndRestart(process: SoakProcess) {
+        log.add("process ${process.name} gets SIGTERM")
+        process.stop(STOP_GRACE_MS)
+        process.start()
+    }
+
+    private fun injectAtStore(fault: SoakFault) {
+        val leader = deployment.leader()?.name ?: return
+        log.add("  the leader is $leader")
+        when (fault.kind) {
+            SoakFaultKind.STORE_DOWN -> add(store.refused, "*", fault)
+            SoakFaultKind.STORE_SILENT -> add(store.silent, "*", fault)
+            SoakFaultKind.STORE_REFUSES_LEADER -> add(store.refused, leader, fault)
+            SoakFaultKind.STORE_SILENT_TO_LEADER -> add(store.silent, leader, fault)
+            SoakFaultKind.STORE_HISTORY_DROPPED -> deployment.store.dropHistory()
+            SoakFaultKind.STORE_SLOW -> {
+                store.latencyMs = pick(100, 900)
+                after(fault.durationMs) { store.latencyMs = 4 }
+            }
+
+            else -> {
+                store.lostShare = 0.3
+                after(fault.durationMs) { store.lostShare = 0.0 }
+            }
+        }
+    }
+
+    private fun add(callers: MutableSet<String>, caller: String, fault: SoakFault) {
+        callers += caller
+        after(fault.durationMs) { callers -= caller }
+    }
+
+    /** Ends all faults; further ones do not come. */
+    override fun close() {
+        executor.shutdownNow()
+        executor.awaitTermination(STOP_GRACE_MS * 2, TimeUnit.MILLISECONDS)
+        store.refused.clear()
+        store.silent.clear()
+        store.latencyMs = 4
+        store.lostShare = 0.0
+        deployment.processes.forEach { it.signal("CONT") }
+        deployment.processes.forEach { it.start() }
+        deployment.workers.forEach { worker ->
+            worker.cut(0, 0)
+            worker.faults.cutFromStoreUntilMs = 0
+            worker.faults.lostStartShare = 0.0
+            worker.startIfDown(deployment.newWorkerId())
+        }
+    }
+}
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakProcess.kt
@@ -0,0 +1,99 @@
+/** One process of the product, started with the options of the deploy file and the class path of the test. */
+package dev.bronzeshore.server.soak
+
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import java.net.ServerSocket
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.io.path.exists
+import kotlin.io.path.readLines
+import kotlin.io.path.writeText
+
+private const val SIGNAL_WAIT_SECONDS = 10L
+private val JVM_OPTIONS =
+    listOf("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData")
+
+/** Ports below those that the system gives to outgoing connections. */
+private const val FIRST_PORT = 20_000
+private const val PORTS = 10_000
+
+internal class SoakProcess(
+    val name: String,
+    private val folder: Path,
+    private val storeAddress: String,
+    private val log: SoakLog,
+) {
+    val callersPort = freePort()
+    val readinessPort = freePort()
+    private val peersPort = freePort()
+    private val metricsPort = freePort()
+    private val logFile = folder.resolve("$name.log")
+    private var process: Process? = null
+
+    val isAlive: Boolean get() = process?.isAlive == true
+    val logLines: List<String> get() = if (logFile.exists()) logFile.readLines() else emptyList()
+
+    @Synchronized
+    fun start() {
+        if (isAlive) return
+        val settings = folder.resolve("$name.json").apply { writeText(settings()) }
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val main = listOf("-cp", System.getProperty("java.class.path"), "dev.bronzeshore.server.MainKt", "--platform")
+        val builder = ProcessBuilder(listOf(java) + JVM_OPTIONS + main)
+        builder.environment()["BRONZESHORE_BOOT"] = settings.toString()
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
+        process = builder.start()
+        log.add("process $name starts")
+    }
+
+    fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    /** Sends SIGTERM, and SIGKILL if the process has not ended after [graceMs]. */
+    fun stop(graceMs: Long) {
+        process?.destroy()
+        if (process?.waitFor(graceMs, TimeUnit.MILLISECONDS) == false) kill()
+    }
+
+    /** Sends `STOP` or `CONT` to this process only. */
+    fun signal(name: String) {
+        val pid = process?.takeIf { it.isAlive }?.pid() ?: return
+        ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor(SIGNAL_WAIT_SECONDS, TimeUnit.SECONDS)
+    }
+
+    private fun settings(): String = buildJsonObject {
+        put("processName", name)
+        put("dataCentre", "zone-a")
+        put("callersAddress", "127.0.0.1:$callersPort")
+        put("readinessAddress", "127.0.0.1:$readinessPort")
+        put("peersAddress", "127.0.0.1:$peersPort")
+        put("metricsAddress", "127.0.0.1:$metricsPort")
+        put("storeAddress", storeAddress)
+        put("adviceAddress", JsonNull)
+        put("processorShare", 0.75)
+        put("processors", 1)
+        put("memoryMb", 430)
+        put("linkMbps", 1_000.0)
+        putJsonObject("bounds") {
+            put("maxLeaseMs", MAX_LEASE_MS)
+            put("stopGraceMs", 400)
+            put("gangWaitMs", 3_000)
+            put("stopSignalGraceSeconds", 6)
+            put("statusRetentionSeconds", 120)
+            put("earlyStartMs", 250)
+            put("remoteFactor", 1.5)
+        }
+    }.toString()
+
+    private companion object {
+        val nextPort = AtomicInteger((ProcessHandle.current().pid() * 41 % PORTS).toInt())
+
+        fun freePort(): Int = generateSequence { FIRST_PORT + nextPort.getAndIncrement() % PORTS }.take(PORTS)
+            .first { port -> runCatching { ServerSocket(port).use { it.localPort } }.isSuccess }
+    }
+}
--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakStore.kt
@@ -0,0 +1,177 @@
+/** Stand-in of the platform's table store over HTTP, with one port for each caller and faults. */
+package dev.bronzeshore.server.soak
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import java.util.Base64
+import java.util.TreeMap
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.concurrent.thread
+import kotlin.random.Random
+
+private const val MAX_PAGE_ROWS = 500
+private const val UNAVAILABLE = 503
+private const val CONFLICT = 412
+private const val GONE = 410
+
+internal data class SoakRowId(val table: String, val part: String, val key: String)
+
+internal class SoakRow(val id: SoakRowId, val value: String?, val version: Long) {
+    fun toJson(): JsonObject = buildJsonObject {
+        put("table", id.table)
+        put("part", id.part)
+        put("key", id.key)
+        if (value == null) put("removed", true) else put("value", value)
+        put("ver", version)
+    }
+}
+
+internal class SoakStoreFaults {
+    /** Callers that get 503, and callers that get no answer; "*" stands for all. */
+    val refused: MutableSet<String> = ConcurrentHashMap.newKeySet()
+    val silent: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    @Volatile
+    var latencyMs = 4L
+
+    /** Share of the transactions without an answer; half of them are applied some seconds later. */
+    @Volatile
+    var lostShare = 0.0
+
+    @Volatile
+    var oldestVersion = 0L
+
+    fun isRefused(caller: String) = caller in refused || "*" in refused
+
+    fun isSilent(caller: String) = caller in silent || "*" in silent
+}
+
+internal class SoakStore(private val log: SoakLog, seed: Long) {
+    val faults = SoakStoreFaults()
+    private val random = Random(seed)
+    private val parts = HashMap<Pair<String, String>, TreeMap<String, SoakRow>>()
+    private val history = HashMap<String, ArrayList<SoakRow>>()
+    private val monitor = Object()
+    private var version = 0L
+
+    /** Opens a port for one caller. */
+    fun openFor(caller: String): SoakHttpServer = SoakHttpServer { serve(caller, it) }.apply { open() }
+
+    /** Drops the history before now, as the store may do at any time. */
+    fun dropHistory() = synchronized(monitor) { faults.oldestVersion = version }
+
+    /** Writes or removes a row of the operator or of a worker. */
+    fun put(table: String, key: String, value: String?) = synchronized(monitor) {
+        version++
+        save(SoakRow(SoakRowId(table, "", key), value?.let { encode(it) }, version))
+        monitor.notifyAll()
+    }
+
+    fun textOf(table: String, part: String, key: String): String? = synchronized(monitor) {
+        parts[table to part]?.get(key)?.value?.let { String(Base64.getDecoder().decode(it), Charsets.ISO_8859_1) }
+    }
+
+    fun keysOf(table: String, part: String): Set<String> =
+        synchronized(monitor) { parts[table to part]?.keys?.toSet().orEmpty() }
+
+    private fun encode(text: String) = Base64.getEncoder().encodeToString(text.encodeToByteArray())
+
+    private fun save(row: SoakRow) {
+        val rows = parts.getOrPut(row.id.table to row.id.part) { TreeMap() }
+        if (row.value == null) rows.remove(row.id.key) else rows[row.id.key] = row
+        history.getOrPut(row.id.table) { ArrayList() } += row
+    }
+
+    private fun serve(caller: String, request: SoakRequest): SoakReply? {
+        if (faults.isSilent(caller)) return null
+        Thread.sleep(faults.latencyMs)
+        if (faults.isRefused(caller)) return SoakReply(UNAVAILABLE)
+        val reply = when (request.path) {
+            "/rows-tx" -> transactWithFaults(request)
+            "/rows-get" -> read(request.query)
+            "/rows-feed" -> feed(caller, request.query)
+            else -> SoakReply(404)
+        }
+        return reply.takeUnless { faults.isSilent(caller) }
+    }
+
+    private fun transactWithFaults(request: SoakRequest): SoakReply? {
+        val call = Json.parseToJsonElement(request.body.decodeToString()).jsonObject
+        if (synchronized(random) { random.nextDouble() } >= faults.lostShare) return transact(call)
+        val delayMs = synchronized(random) { if (random.nextBoolean()) 0L else random.nextLong(300, 5_000) }
+        thread(isDaemon = true) {
+            Thread.sleep(delayMs)
+            transact(call)
+        }
+        return null
+    }
+
+    private fun JsonElement.id(): SoakRowId = jsonObject.let { row ->
+        SoakRowId(row.text("table"), row["part"]?.jsonPrimitive?.content.orEmpty(), row.text("key"))
+    }
+
+    private fun JsonObject.text(name: String) = getValue(name).jsonPrimitive.content
+
+    private fun JsonObject.list(name: String) = get(name)?.jsonArray.orEmpty()
+
+    private fun rowAt(id: SoakRowId): SoakRow? = parts[id.table to id.part]?.get(id.key)
+
+    private fun transact(call: JsonObject): SoakReply = synchronized(monitor) {
+        val conditions = call.list("precondition")
+        val current = conditions.mapNotNull { rowAt(it.id()) }
+        val holds = conditions.all {
+            (rowAt(it.id())?.version ?: 0) == it.jsonObject.getValue("ver").jsonPrimitive.long
+        }
+        if (!holds) return SoakReply(CONFLICT, answer(current))
+        version++
+        call.list("set_keys").forEach { save(SoakRow(it.id(), it.jsonObject.text("value"), version)) }
+        call.list("remove").filter { rowAt(it.id()) != null }.forEach { save(SoakRow(it.id(), null, version)) }
+        monitor.notifyAll()
+        SoakReply(200, buildJsonObject { putVersion() }.toString())
+    }
+
+    private fun JsonObjectBuilder.putVersion() {
+        put("ver", version)
+        put("now_ms", log.nowMs)
+    }
+
+    private fun answer(rows: List<SoakRow>, hasMore: Boolean = false): String = buildJsonObject {
+        put("rows", JsonArray(rows.map { it.toJson() }))
+        put("has_more", hasMore)
+        putVersion()
+    }.toString()
+
+    private fun read(query: Map<String, String>): SoakReply = synchronized(monitor) {
+        val all = parts[query.getValue("table") to query["part"].orEmpty()] ?: TreeMap()
+        val to = query["to"]
+        val found = all.tailMap(query["from"].orEmpty(), true).values.filter { to == null || it.id.key < to }
+        SoakReply(200, answer(found.take(MAX_PAGE_ROWS), found.size > MAX_PAGE_ROWS))
+    }
+
+    private fun feed(caller: String, query: Map<String, String>): SoakReply =
+        synchronized(monitor) { awaitChanges(caller, query) }
+
+    private fun awaitChanges(caller: String, query: Map<String, String>): SoakReply {
+        val after = query.getValue("after").toLong()
+        val untilMs = log.nowMs + (query["wait_ms"]?.toLong() ?: 0)
+        if (after < faults.oldestVersion) return SoakReply(GONE)
+        while (true) {
+            if (faults.isRefused(caller)) return SoakReply(UNAVAILABLE)
+            val all = history[query.getValue("table")].orEmpty()
+            var first = all.size
+            while (first > 0 && all[first - 1].version > after) first--
+            val leftMs = untilMs - log.nowMs
+            if (first < all.size || leftMs <= 0) return SoakReply(200, answer(all.subList(first, all.size)))
+            monitor.wait(leftMs)
+        }
+    }
+}
