--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakOptions.kt
@@ -0,0 +1,37 @@
+/** What a soak runs; system properties change it for runs by hand. */
+package dev.bronzeshore.server.soak
+
+private const val MS_PER_SECOND = 1_000L
+
+/** Kinds of the short run in the build: each has once made a task run twice, or is part of such a series. */
+private val KINDS_IN_BUILD = listOf(
+    SoakFaultKind.DRAIN_CUT_LEADER_KILL,
+    SoakFaultKind.DRAIN_CUT_FROM_STORE,
+    SoakFaultKind.WORKER_RESTART,
+    SoakFaultKind.LEADER_KILL,
+)
+
+internal data class SoakOptions(
+    val seed: Long,
+    val kinds: List<SoakFaultKind>,
+    val faultsMs: Long,
+    val jobsPerSecond: Int,
+    val processCount: Int = 6,
+    val workerCount: Int = 18,
+) {
+    companion object {
+        /** `soak.kinds` names kinds or is `all`; faults last `soak.seconds`, and `soak.rate` jobs come a second. */
+        fun ofProperties(seed: Long): SoakOptions = SoakOptions(
+            seed,
+            kindsOf(System.getProperty("soak.kinds")),
+            System.getProperty("soak.seconds", "35").toLong() * MS_PER_SECOND,
+            System.getProperty("soak.rate", "26").toInt(),
+        )
+
+        private fun kindsOf(text: String?): List<SoakFaultKind> = when (text) {
+            null -> KINDS_IN_BUILD
+            "all" -> SoakFaultKind.entries
+            else -> text.split(',').map { SoakFaultKind.valueOf(it) }
+        }
+    }
+}
