--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakClients.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakClients.kt
@@ -93,7 +93,7 @@
         }
     }
 
-    /** Sends a call without a body to one port. */
+    /** True if the process reports itself ready, as the ingress asks it. */
     fun isReady(process: SoakProcess): Boolean = try {
         SoakClientConnection(process.readinessPort).use { it.call("GET", "/ready", null).first == 200 }
     } catch (_: IOException) {
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakDeployment.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakDeployment.kt
@@ -61,6 +61,6 @@
 
     override fun close() {
         clients.close()
-        processes.forEach { it.kill() }
+        processes.forEach { it.close() }
     }
 }
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFaultInjector.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFaultInjector.kt
@@ -37,12 +37,14 @@
             SoakFaultKind.LEADER_KILL -> deployment.leader()?.let { killAndRestart(it, fault.durationMs) }
             SoakFaultKind.LEADER_FREEZE -> deployment.leader()?.let { freeze(it, fault.durationMs) }
             SoakFaultKind.LEADER_STOP -> deployment.leader()?.let { stopAndRestart(it) }
-            SoakFaultKind.OTHER_KILL -> killAndRestart(deployment.processes.random(), fault.durationMs)
+            SoakFaultKind.OTHER_KILL -> killAndRestart(processFor(fault), fault.durationMs)
             SoakFaultKind.ALL_KILL -> deployment.processes.forEach { killAndRestart(it, fault.durationMs) }
             else -> workerFor(fault)?.let { injectAtWorker(it, fault, untilMs) }
         }
     }
 
+    private fun processFor(fault: SoakFault) = deployment.processes[fault.target % deployment.processes.size]
+
     /** A worker that is up; null while too many are absent or about to leave. */
     private fun workerFor(fault: SoakFault): SoakWorker? {
         val workers = deployment.workers.filter { it.id != null && !it.isDraining }
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakProcess.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakProcess.kt
@@ -27,13 +27,14 @@
     private val metricsPort = SoakPorts.next()
     private val logFile = folder.resolve("$name.log")
     private var process: Process? = null
+    private var isClosed = false
 
     val isAlive: Boolean get() = process?.isAlive == true
     val logLines: List<String> get() = if (logFile.exists()) logFile.readLines() else emptyList()
 
     @Synchronized
     fun start() {
-        if (isAlive) return
+        if (isAlive || isClosed) return
         val settings = folder.resolve("$name.json").apply { writeText(settings()) }
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val main = listOf("-cp", System.getProperty("java.class.path"), "dev.bronzeshore.server.MainKt", "--platform")
@@ -44,6 +45,13 @@
         log.add("process $name starts")
     }
 
+    /** Kills the process; it does not start again. */
+    @Synchronized
+    fun close() {
+        isClosed = true
+        kill()
+    }
+
     fun kill() {
         process?.destroyForcibly()?.waitFor()
     }
