--- /dev/null
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakHttpServer.kt
@@ -0,0 +1,62 @@
+/** An HTTP/1.1 server whose connections a test can reset or leave open without answers, as network faults do. */
+package dev.bronzeshore.server.soak
+
+import java.io.IOException
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.concurrent.thread
+
+private const val BACKLOG = 512
+private const val THREAD_STACK_BYTES = 262_144L
+
+/** [handle] returns null if the connection delivers nothing further. */
+internal class SoakHttpServer(private val handle: (SoakRequest) -> SoakReply?) : AutoCloseable {
+    private val connections = ConcurrentHashMap.newKeySet<SoakConnection>()
+    private var listener: ServerSocket? = null
+    private val port = SoakPorts.next()
+    val address: String get() = "127.0.0.1:$port"
+
+    /** Listens, also again after [close]. */
+    @Synchronized
+    fun open() {
+        val opened = ServerSocket()
+        opened.reuseAddress = true
+        opened.bind(InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), BACKLOG)
+        listener = opened
+        thread(isDaemon = true, name = "accept-$port") { acceptAll(opened) }
+    }
+
+    private fun acceptAll(opened: ServerSocket) {
+        while (!opened.isClosed) {
+            val socket = try {
+                opened.accept()
+            } catch (_: IOException) {
+                return
+            }
+            socket.tcpNoDelay = true
+            val connection = SoakConnection(socket, connections::remove)
+            connections += connection
+            Thread(null, {
+                connection.serve(handle)
+            }, "serve-$port", THREAD_STACK_BYTES).apply { isDaemon = true }.start()
+        }
+    }
+
+    /** Open connections stay open without answers; new ones are served. */
+    fun silenceConnections() = connections.forEach { it.isSilent = true }
+
+    /** Accepts no further connections; open ones stay. */
+    @Synchronized
+    fun closeListener() {
+        listener?.close()
+        listener = null
+    }
+
+    /** Stops listening and resets all connections. */
+    override fun close() {
+        closeListener()
+        connections.forEach { it.reset() }
+    }
+}
