--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -14,8 +14,8 @@
 private const val SLOW_CLOCK_FACTOR = 1.03
 
 /**
- * A former leader that cannot reach the store goes on renewing leases until a worker refuses its fencing token, which the
- * first of its polls does that reaches a worker after the first poll of this leader. A poll takes up to 2.2 s.
+ * A former leader that cannot reach the store renews leases until a worker refuses its fencing token. That is the first
+ * worker that it polls after this leader has; a poll takes up to 2.2 s.
  */
 private const val FORMER_LEADER_STOPS_WITHIN_MS = 2_500L
 
