--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
@@ -43,10 +43,9 @@
         }
     }
 
-    /** The worker restarted after it had been sent the start, and the run is not on its next incarnation. */
-    fun handleLostStart(placement: Placement) {
-        val crash = CrashedRun(placement.run.run, CrashRole.SUSPECT, isCertain = true)
-        record(placement.task, crash, isOnlySuspect = false)
+    /** The next incarnation of the worker has the run, so it has not crashed the former one. */
+    fun withdraw(placement: Placement) {
+        if (placement.task.crashes.remove(placement.run.run)) context.markChanged(placement.task.step.job)
     }
 
     private fun record(task: TrackedTask, crash: CrashedRun, isOnlySuspect: Boolean) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -141,7 +141,7 @@
         val isStopping = placement.state == PlacementState.STOPPING || !placement.task.step.job.isOpen
         placement.worker.remove(placement)
         val moved = Placement(placement.task, successor, placement.run, placement.orderedAtMs)
-        moved.isMoved = true
+        moved.movedAtMs = context.clock()
         placement.task.placement = moved
         successor.add(moved)
         context.log.event(
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ReportHandler.kt
@@ -51,6 +51,8 @@
         worker.hasFurtherEnds = report.ends.size >= MAX_ENDS_IN_REPORT
         if (!worker.isContacted) {
             worker.isContacted = true
+            // Other leaders, or this one for the former incarnation, may have granted a lease of the longest time.
+            worker.clock.extendLease(report.workerClockMs + context.bounds.maxLeaseMs)
             context.log.event(
                 "worker_contacted",
                 "worker" to worker.id,
@@ -70,6 +72,7 @@
         val placement = worker.placement(end.run)
         quarantine.recordEnd(worker, end)
         if (placement != null) {
+            if (placement.isMoved && !placement.isReported) crashes.withdraw(placement)
             lifecycle.ended(placement, end)
         } else {
             worker.removeStray(end.run)
@@ -90,6 +93,7 @@
     private fun update(placement: Placement, running: RunningTask, evidence: RunEvidence) {
         val now = evidence.receivedAtMs
         placement.recordRunning(evidence.workerClockMs)
+        if (placement.isMoved && !placement.isReported) crashes.withdraw(placement)
         placement.isReported = true
         if (placement.state == PlacementState.ORDERED) placement.confirmStart(now, evidence.workerClockMs)
         if (placement.progress.observe(running.percent, evidence)) observeSpeed(placement, now)
@@ -147,17 +151,13 @@
             when {
                 placement.isUnconfirmedMove -> stopper.stop(placement, "its start was sent before the worker restarted")
 
-                isLost(placement, report, requestedAtMs) -> handleMissing(placement)
+                isLost(placement, report, requestedAtMs) ->
+                    lifecycle.lost(placement, "missing from a report of the worker")
             }
         }
         for (run in worker.strayRuns.filter { it !in reported }) worker.removeStray(run)
     }
 
-    private fun handleMissing(placement: Placement) {
-        if (placement.isMoved && !placement.isReported) crashes.handleLostStart(placement)
-        lifecycle.lost(placement, "missing from a report of the worker")
-    }
-
     private val Placement.isUnconfirmedMove: Boolean get() = isMoved && state == PlacementState.ORDERED
 
     private fun isLost(placement: Placement, report: HoldAnswer.Report, requestedAtMs: Long): Boolean {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunStopper.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RunStopper.kt
@@ -7,6 +7,9 @@
 /** Pause between two stop requests for the same run. */
 private const val STOP_RETRY_MS = 250L
 
+/** Only a report that is requested at a later time than the stop was confirmed shows that a run is not there. */
+private const val REPORT_PAUSE_MS = 2L
+
 internal class RunStopper(private val context: TermContext) {
     /** Stops a run; its capacity stays allocated until the worker reports its end. */
     fun stop(placement: Placement, reason: String) {
@@ -17,9 +20,16 @@
         context.launchGuarded("stop") {
             repeatUntilConfirmed(placement.worker, placement.run) { placement.worker.placement(placement.run) != null }
             placement.confirmedAtMs = context.clock()
+            if (placement.isMoved && !placement.isReported) reportAfterStop(placement.worker)
         }
     }
 
+    /** A run that was never there has no end that a waiting poll would return with. */
+    private suspend fun reportAfterStop(worker: TrackedWorker) {
+        delay(REPORT_PAUSE_MS)
+        worker.probe()
+    }
+
     /** Stops a run that the worker must not have. */
     fun stopStray(worker: TrackedWorker, run: TaskRun, reason: String) {
         log(run, worker, reason)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskCrashes.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskCrashes.kt
@@ -33,6 +33,9 @@
     /** Removes a presumed crash that did not happen; false if there is none. */
     fun withdraw(run: Long): Boolean = byRun[run]?.isCertain == false && byRun.remove(run) != null
 
+    /** Removes a crash that the run was not part of; false if there is none. */
+    fun remove(run: Long): Boolean = byRun.remove(run) != null
+
     /** The task has survived a start, so it did not cause the earlier crashes. */
     fun clearSuspicion() = byRun.replaceAll { _, crash -> crash.copy(role = CrashRole.VICTIM) }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -44,8 +44,15 @@
     /** A report of this incarnation has listed the run; the answer to a start does not tell the incarnation. */
     var isReported: Boolean = false
 
-    /** The start was sent to the former incarnation of the worker, so it is not known when it expires on this one. */
-    var isMoved: Boolean = false
+    /**
+     * Monotonic time at which the worker was found to have restarted after it had been sent the start; null if it has
+     * not. The start may expire late on this incarnation, whose clock began anew.
+     */
+    var movedAtMs: Long? = null
+    val isMoved: Boolean get() = movedAtMs != null
+
+    /** Latest monotonic time at which the start may have been sent. */
+    val sentUntilMs: Long get() = movedAtMs ?: orderedAtMs
 
     /** Started by a former leader, so its start time is not known. */
     var isAdopted: Boolean = false
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -163,6 +163,9 @@
     val trialJobId: String? get() = trial?.job?.id ?: formerTrialJob?.takeUnless { isContacted }
 
     val placements: Collection<Placement> get() = placed.values
+
+    /** Runs of which only start answers, or none, are known; the answer to a start does not tell the incarnation. */
+    val unreportedPlacements: List<Placement> get() = placed.values.filterNot { it.isReported }
     val strayRuns: Set<TaskRun> get() = strays.keys
     val free: Resources get() = entry.capacity - used
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -199,8 +199,7 @@
         if (former in formerWorkers && successor !in formerWorkers && !former.hasReportedAll) {
             formerWorkers[successor] = formerWorkers[former]
         }
-        former.placements.filterNot { it.isReported }.forEach { lifecycle.moveTo(successor, it) }
-        markGone(former, reason)
+        markGone(former, reason, successor)
     }
 
     /** Gives up the runs on unreachable workers whose leases have certainly expired, and removes unlisted workers. */
@@ -228,9 +227,10 @@
 
     /** The run has ended for certain also if the next incarnation of the worker has carried out its start. */
     private fun isLeaseOver(placement: Placement, now: Long) =
-        context.confirmation.haveExpired(now) { it >= placement.orderedAtMs + START_VALIDITY_MS + leaseTimeMs }
+        context.confirmation.haveExpired(now) { it >= placement.sentUntilMs + START_VALIDITY_MS + leaseTimeMs }
 
-    private fun markGone(worker: TrackedWorker, reason: String) {
+    /** Gives up the runs of [worker], but for those that its [successor] under the same id may have carried out. */
+    private fun markGone(worker: TrackedWorker, reason: String, successor: TrackedWorker? = null) {
         worker.isGone = true
         context.log.event(
             "worker_gone",
@@ -247,6 +247,7 @@
         context.metrics.losses.workerGone(worker.entry.isDraining)
         if (!worker.entry.isDraining && worker.isContacted) crashes.handleCrash(worker)
         worker.formerTrialJob?.let { if (!worker.isContacted) crashes.handleFormerTrial(it) }
+        successor?.let { worker.unreportedPlacements.forEach { run -> lifecycle.moveTo(it, run) } }
         worker.placements.toList().forEach { lifecycle.lost(it, reason) }
         context.workerPool.remove(worker)
         context.wakeJournal()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -21,9 +21,6 @@
 
 private const val RETRY_MS = 150L
 
-/** Failed polls in a row after which a worker is unreachable; one response makes it reachable again. */
-private const val FAILURES_UNTIL_UNREACHABLE = 1
-
 internal class WorkerSession(
     private val context: TermContext,
     private val worker: TrackedWorker,
@@ -34,8 +31,6 @@
     /** Called when an attempt to connect was refused. */
     private val onRefused: (TrackedWorker) -> Unit,
 ) {
-    private var failures = 0
-
     /** Last end that a poll which this incarnation answered has acknowledged. */
     private var confirmedEnd = 0L
 
@@ -117,11 +112,10 @@
         if (startedAtMs != null && isStartTimeKnown && startedAtMs != worker.incarnation.startedAtMs) {
             return delay(RETRY_MS)
         }
-        failures = 0
         confirmedEnd = maxOf(confirmedEnd, acknowledgedEnd)
         if (!jobLookup.ensureJobsKnown(report)) return delay(LOOKUP_PAUSE_MS)
         reports.handle(worker, report, requestedAtMs)
-        if (worker.unsavedEnds.isNotEmpty()) delay(UNSAVED_END_PAUSE_MS)
+        if (worker.unsavedEnds.isNotEmpty() || worker.isSuspect) delay(UNSAVED_END_PAUSE_MS)
     }
 
     private val isStartTimeKnown: Boolean get() = worker.incarnation.startedAtMs != 0L
@@ -137,9 +131,8 @@
     }
 
     private suspend fun handleFailure(failure: HoldAnswer.Unreachable) {
-        failures++
         worker.isRefusing = failure.isRefused
-        if (failures == FAILURES_UNTIL_UNREACHABLE) {
+        if (worker.isReachable) {
             markUnreachable()
             context.wakeJournal()
             context.log.event("worker_unreachable", "worker" to worker.id, "reason" to failure.reason)
