--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
@@ -28,6 +28,9 @@
     /** Time after its start at which such a task crashes its worker. */
     public var crashDelayMs: Long = 10
 
+    /** A worker that a task has crashed is back at once under its id, instead of later under another one. */
+    public var keepsIdAfterCrash: Boolean = false
+
     /** Calls to a worker that a task has crashed get no answer, instead of being refused at once. */
     public var isCrashSilent: Boolean = false
 
