--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/RestartedWorkerTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/RestartedWorkerTest.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import org.junit.jupiter.params.provider.ValueSource
@@ -52,6 +54,26 @@
         assertEquals(24, simulation.workers.checker.starts)
     }
 
+    /**
+     * Guards against ends that the next incarnation forgets because the acknowledgement of a report of the former one
+     * reaches it: their tasks run again.
+     */
+    @Tag("known-red")
+    @Test
+    fun `a worker that restarts before its ends are acknowledged forgets no ends of its own`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 41, workerCount = 3)
+        simulation.lead(pollDelayMs = { REPORT_MS })
+        simulation.submit(EARLIER_JOB, step(replicas = 16, cores = 2, durationMs = 100))
+        assertTrue(simulation.awaitPhase(EARLIER_JOB, JobPhase.COMPLETED, withinMs = 5_000))
+        simulation.workers.faults.isRestartSilent = true
+        simulation.workers.restart("w0")
+        simulation.submit(JOB, step(replicas = 8, cores = 4, durationMs = 100))
+        delay(ACKNOWLEDGED_WITHIN_MS)
+        simulation.workers.announce("w0")
+        assertTrue(simulation.awaitPhase(JOB, JobPhase.COMPLETED, withinMs = 20_000))
+        assertEquals(24, simulation.workers.checker.starts)
+    }
+
     /** Guards against tasks that run twice because their starts were in flight when their worker restarted. */
     @ParameterizedTest
     @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
