--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/RestartedWorkerReviewTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/RestartedWorkerCrashTest.kt
@@ -1,4 +1,4 @@
-/** Cases from the review of docs/incidents/0006: silent draining workers, and crashes of workers that keep their id. */
+/** Crashes of workers that keep their id, and draining workers that are silent after an outage of the store. */
 package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.JobPhase
@@ -27,7 +27,7 @@
 private const val GIVEN_UP_WITHIN_MS = 60_000L
 private const val RECOVERY_MS = 30_000L
 
-class RestartedWorkerReviewTest {
+class RestartedWorkerCrashTest {
     /**
      * Guards against tasks that run twice because their draining worker counted as gone after an outage of the store in
      * which nobody reached it, long before its leases had expired.
