--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
@@ -31,6 +31,9 @@
     val openJobs: Collection<TrackedJob> get() = open.values
     val allJobs: Collection<TrackedJob> get() = jobs.values
 
+    /** Tasks that are kept in memory. */
+    val trackedTasks: Int get() = jobs.values.sumOf { job -> job.steps.sumOf { it.tasks.size } }
+
     fun find(jobId: String): TrackedJob? = jobs[jobId]
 
     fun task(name: TaskName): TrackedTask? = jobs[name.jobId]?.task(name)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -114,6 +114,9 @@
     /** Accepts a job that a process has stored and announces before the change feed delivers it. */
     public fun acceptAnnounced(job: AcceptedJob): Unit? = jobLifecycle?.accept(job, version = 0)
 
+    /** Tasks that this leader keeps in memory. */
+    public val trackedTasks: Int get() = currentContext?.jobRegistry?.trackedTasks ?: 0
+
     /** Monotonic time of the last write to an intake partition that confirmed the term; null if there was none. */
     public val confirmedInPartitionAtMs: Long? get() = currentContext?.confirmation?.confirmedInPartitionAtMs
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
@@ -28,6 +28,8 @@
             "waiting_late" to (byLateness[Lateness.LATE] ?: 0),
             "waiting_worthless" to (byLateness[Lateness.WORTHLESS] ?: 0),
             "gang_waits" to context.gangWaits,
+            "jobs" to context.jobRegistry.allJobs.size,
+            "tracked_tasks" to context.jobRegistry.trackedTasks,
         )
     }
 }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -13,7 +13,12 @@
 private const val MS_PER_SECOND = 1_000.0
 private val DURATION_BUCKETS_SECONDS = doubleArrayOf(0.005, 0.02, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
 
-internal class ClusterMetrics(configVersion: () -> Long, configAgeMs: () -> Long, term: () -> Long) {
+internal class ClusterMetrics(
+    configVersion: () -> Long,
+    configAgeMs: () -> Long,
+    term: () -> Long,
+    trackedTasks: () -> Long,
+) {
     private val registry = PrometheusRegistry()
     private val answers = counter("bronzeshore_caller_answers_total", "Answers to callers.", "method", "status")
     private val refusedCalls =
@@ -46,6 +51,7 @@
             configAgeMs,
         )
         gauge("bronzeshore_leader_term", "Term that this process leads, or 0.", term)
+        gauge("bronzeshore_tracked_tasks", "Tasks that the leader keeps in memory; 0 elsewhere.", trackedTasks)
     }
 
     fun countAnswer(method: String, status: Int) = answers.labelValues(method, status.toString()).inc()
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -97,6 +97,7 @@
         configVersion = { config.current?.version ?: 0 },
         configAgeMs = { configProof.ageMs ?: 0 },
         term = { election.currentTerm?.term ?: 0 },
+        trackedTasks = { runner?.trackedTasks?.toLong() ?: 0 },
     )
     private val localJobs: JobOperations =
         createStoreJobOperations(store, MonotonicClock, { health.isAvailable }, scope)
