Track only the occurrences of a job that are due or running

Cause: TrackedJob built steps and tasks of all occurrences when a job was accepted or restored.

Change: an occurrence is tracked from its due time until its tasks are done. Before and after, it is a number: what is done is stored as ranges. Rows of earlier releases, which list each done occurrence, are understood.

The same cause nearby: the planner and the load report went through all occurrences in each round, and the progress row listed each of them, which would have passed the store's limit of a row.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -32,13 +32,20 @@
 @Serializable
 public data class CrashedRun(public val run: Long, public val role: CrashRole, public val isCertain: Boolean)
 
-/** Progress of a job. */
+/** Consecutive occurrences of a job, both ends included. */
+@Serializable
+public data class OccurrenceRange(public val first: Int, public val last: Int)
+
+/** Progress of a job; that of its steps is left out once the job has ended. */
 @Serializable
 public data class JobProgress(
     public val phase: JobPhase,
+    /** Progress in the occurrences that are not in [doneOccurrences]. */
     public val steps: List<StepProgress> = emptyList(),
     /** Wall-clock time at which the job ended, or null while it is open; the row is deleted after a retention time. */
     public val endedAtMs: Long? = null,
+    /** Occurrences of a schedule whose tasks are all done, in ascending order. */
+    public val doneOccurrences: List<OccurrenceRange> = emptyList(),
 )
 
 /** Number of jobs without a started task for each queue, as reported to callers. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
@@ -101,7 +101,7 @@
      * runs this leader does not know.
      */
     fun handleFormerTrial(jobId: String) {
-        val tasks = context.jobRegistry.find(jobId)?.steps.orEmpty().flatMap { it.tasks }
+        val tasks = context.jobRegistry.find(jobId)?.openSteps.orEmpty().flatMap { it.tasks }
         for (task in tasks.filter { it.crashes.isSuspected && !it.isDone && it.placement == null }) {
             val crash = CrashedRun(context.firstRunNumber - 1, CrashRole.SUSPECT, isCertain = true)
             record(task, crash, isOnlySuspect = true)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashTrials.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashTrials.kt
@@ -83,4 +83,4 @@
 }
 
 private val TrackedJob.hasSuspectedPendingTasks: Boolean
-    get() = steps.any { step -> step.tasks.any { it.crashes.isSuspected && !it.isDone && it.placement == null } }
+    get() = openSteps.any { step -> step.tasks.any { it.crashes.isSuspected && !it.isDone && it.placement == null } }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -186,7 +186,16 @@
         val step = task.step
         if (step.description.isService) return restartLater(task)
         if (step.description.isGang) step.markAllDone() else task.isDone = true
-        if (step.isDone && step.job.steps.all { it.isDone }) close(step.job, JobPhase.COMPLETED, "all tasks are done")
+        if (step.isDone) stepDone(step)
+    }
+
+    private fun stepDone(step: TrackedStep) {
+        val occurrences = step.job.occurrences
+        when {
+            !occurrences.isComplete(step.occurrence) -> Unit
+            occurrences.isLast(step.occurrence) -> close(step.job, JobPhase.COMPLETED, "all tasks are done")
+            else -> occurrences.markDone(step.occurrence)
+        }
     }
 
     private fun failed(task: TrackedTask, end: TaskEnd, worker: TrackedWorker) {
@@ -226,7 +235,7 @@
             "objective_ms" to job.objectiveAtMs - job.acceptedAtMs,
         )
         context.metrics.jobEnded(job.terms.queue, phase.name, durationMs)
-        job.steps.flatMap { it.tasks }.mapNotNull { it.placement }.forEach { stopper.stop(it, reason) }
+        job.openSteps.flatMap { it.tasks }.mapNotNull { it.placement }.forEach { stopper.stop(it, reason) }
         context.markChanged(job)
         context.wakePlanner()
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
@@ -32,7 +32,7 @@
     val allJobs: Collection<TrackedJob> get() = jobs.values
 
     /** Tasks that are kept in memory. */
-    val trackedTasks: Int get() = jobs.values.sumOf { job -> job.steps.sumOf { it.tasks.size } }
+    val trackedTasks: Int get() = jobs.values.sumOf { job -> job.openSteps.sumOf { it.tasks.size } }
 
     fun find(jobId: String): TrackedJob? = jobs[jobId]
 
@@ -95,5 +95,5 @@
 
     /** Jobs without a started task, by queue. */
     fun waitingByQueue(): Map<String, Int> =
-        open.values.filter { job -> job.steps.none { it.hasStarted } }.groupingBy { it.terms.queue }.eachCount()
+        open.values.filterNot { it.hasStarted }.groupingBy { it.terms.queue }.eachCount()
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -125,7 +125,7 @@
         val job = currentContext?.jobRegistry?.find(jobId) ?: return null
         return when {
             job.savedPhase.isEnded -> job.savedPhase
-            job.steps.any { it.hasStarted } -> JobPhase.RUNNING
+            job.hasStarted -> JobPhase.RUNNING
             else -> JobPhase.PENDING
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Planner.kt
@@ -19,6 +19,8 @@
     /** False while runs of the job that a former leader started may exist without this leader knowing them. */
     private val mayStart: (TrackedJob) -> Boolean,
 ) {
+    private val opener = OccurrenceOpener(context.jobRegistry)
+
     /** Plans a round; [adviceNeeds] collects the advice calls that steps want. */
     fun plan(adviceNeeds: AdviceNeeds): Plan {
         val now = context.clock()
@@ -45,14 +47,13 @@
     }
 
     private fun waitingSteps(now: Long): List<RankedStep> {
-        val wallClockMs = context.wallClock()
+        opener.openDue(context.wallClock())
         val ranked = ArrayList<RankedStep>()
         for (job in context.jobRegistry.openJobs) {
             if (!context.confirmation.covers(job) || !mayStart(job)) continue
-            for (step in job.steps) {
+            for (step in job.openSteps) {
                 val delayMs = step.dueAtMs?.let { (it - job.accepted.acceptedAtMs).coerceAtLeast(0) } ?: 0
-                val isDue = step.dueAtMs?.let { wallClockMs >= it } ?: true
-                if (isDue && step.hasPendingTasks && step.isUnblocked) ranked += rank(step, now, delayMs)
+                if (step.hasPendingTasks && step.isUnblocked) ranked += rank(step, now, delayMs)
             }
         }
         return ranked
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
@@ -4,6 +4,7 @@
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.StepProgress
 import dev.bronzeshore.core.cluster.TaskName
 
 internal class TrackedJob(
@@ -34,10 +35,10 @@
     /** Last stored phase, which callers may see: an end is shown only once it is stored. */
     var savedPhase: JobPhase = JobPhase.PENDING
 
-    /** Steps of all occurrences, in the order of the occurrences. */
-    val steps: List<TrackedStep> = (0 until accepted.description.occurrences).flatMap { occurrence ->
-        accepted.description.steps.indices.map { TrackedStep(this, occurrence, it) }
-    }
+    val occurrences = JobOccurrences(this)
+
+    /** Steps of the open occurrences, in the order of the occurrences. */
+    val openSteps: List<TrackedStep> get() = occurrences.openSteps
 
     val isOpen: Boolean get() = phase == JobPhase.PENDING || phase == JobPhase.RUNNING
 
@@ -50,25 +51,38 @@
     /** The critical path of the whole job, with one advice call for each step. */
     private val criticalPathMs: Long get() = criticalPathFromMs.max()
 
-    fun step(occurrence: Int, number: Int): TrackedStep? = if (number in accepted.description.steps.indices) {
-        steps.getOrNull(occurrence * accepted.description.steps.size + number)
-    } else {
-        null
+    /** A step of an occurrence that is not done. */
+    fun step(occurrence: Int, number: Int): TrackedStep? = occurrences.stepsOf(occurrence)?.getOrNull(number)
+
+    /** The task of that name; a copy that is done if its occurrence is done. */
+    fun task(name: TaskName): TrackedTask? {
+        val isNamed = name.step in accepted.description.steps.indices &&
+            name.occurrence in 0 until accepted.description.occurrences
+        if (!isNamed) return null
+        val step = step(name.occurrence, name.step) ?: TrackedStep(this, name.occurrence, name.step).also { it.markAllDone() }
+        return step.tasks.getOrNull(name.index)
     }
 
-    fun task(name: TaskName): TrackedTask? = step(name.occurrence, name.step)?.tasks?.getOrNull(name.index)
+    val hasStarted: Boolean get() = occurrences.hasDone || openSteps.any { it.hasStarted }
 
     /** Estimated time from the start of a step to the end of the job. */
     fun remainingCriticalPathMs(step: TrackedStep): Long = criticalPathFromMs[step.number]
 
-    fun toProgress(): JobProgress = JobProgress(phase, steps.mapNotNull { it.toProgress() }, endedAtMs)
+    fun toProgress(): JobProgress =
+        JobProgress(phase, openSteps.mapNotNull { it.toProgress() }, endedAtMs, occurrences.doneRanges)
 
     /** Restores what a former leader stored. */
     fun restore(progress: JobProgress) {
         phase = progress.phase
         savedPhase = progress.phase
         endedAtMs = progress.endedAtMs
-        for (stored in progress.steps) step(stored.occurrence, stored.step)?.restore(stored)
+        progress.doneOccurrences.forEach { occurrences.restoreDone(it) }
+        for (stored in progress.steps) restore(stored)
+    }
+
+    private fun restore(stored: StepProgress) {
+        step(stored.occurrence, stored.step)?.restore(stored)
+        if (occurrences.isComplete(stored.occurrence)) occurrences.markDone(stored.occurrence)
     }
 
     private fun criticalPaths(): LongArray {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -62,8 +62,7 @@
         }
 
     /** Wall-clock time at which the step is due, or null if it is due at once. */
-    val dueAtMs: Long?
-        get() = job.accepted.description.schedule?.let { it.firstDueMs + occurrence * it.periodMs }
+    val dueAtMs: Long? get() = job.occurrences.dueAtMs(occurrence)
 
     fun markAllDone() = tasks.forEach { it.isDone = true }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
@@ -16,11 +16,21 @@
         if (!registry.hasUnknownRuns) return Resources.NONE
         val wanted = context.jobRegistry.openJobs
             .filter { it.accepted.account == account && mayHaveUnknownRuns(it) }
-            .flatMap { it.steps }
-            .fold(Resources.NONE) { sum, step -> sum.plusTasks(step.accountDemand, step.tasks.count { it.isUnplaced }) }
+            .fold(Resources.NONE) { sum, job -> sum.plusOpen(job).plusUnopened(job) }
         return registry.unreportedCapacity?.let { wanted.atMost(it) } ?: wanted
     }
 
+    private fun Resources.plusOpen(job: TrackedJob): Resources =
+        job.openSteps.fold(this) { sum, step -> sum.plusTasks(step.accountDemand, step.tasks.count { it.isUnplaced }) }
+
+    /** The former leader may have started any occurrences that were due. */
+    private fun Resources.plusUnopened(job: TrackedJob): Resources {
+        val occurrences = job.occurrences.unopenedDueCount(context.wallClock(), MAX_BACKLOG_TASKS_PER_JOB)
+        return job.accepted.description.steps.fold(this) { sum, step ->
+            sum.plusTasks(step.size, step.replicas * occurrences)
+        }
+    }
+
     private fun mayHaveUnknownRuns(job: TrackedJob) =
         !context.confirmation.isNewerThanTerm(job) && registry.mayHaveUnknownRuns(job.id)
 }
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AccountPartsTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AccountPartsTest.kt
@@ -30,7 +30,7 @@
 private fun stepOf(account: String?, replicas: Int = 1): TrackedStep {
     val description = JobDescription("", listOf(StepDescription(replicas, TASK_SIZE, 1_000)))
     val job = AcceptedJob("j-$account", description, QueueTerms("q", "s", 1, 3, 2.0, 0), 0, account)
-    return TrackedJob(job, 0).steps.first()
+    return TrackedJob(job, 0).openSteps.first()
 }
 
 class AccountPartsTest {
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AdviceTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/AdviceTest.kt
@@ -131,6 +131,6 @@
     private fun stepWithAdvice(decisionMs: Double): TrackedStep {
         val terms = QueueTerms("q", "s", 1, 3, 2.0, 0, AdviceTerms(decisionMs, perWorkerMs = 1.0, validityMs = 2_000))
         val description = JobDescription("", listOf(StepDescription(2, Resources(1_000, 1), 1_000)))
-        return TrackedJob(AcceptedJob("job", description, terms, 0), 0).steps.first()
+        return TrackedJob(AcceptedJob("job", description, terms, 0), 0).openSteps.first()
     }
 }
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/PlannerPartsTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/PlannerPartsTest.kt
@@ -42,16 +42,16 @@
     @CsvSource("0, IN_TIME", "1400, IN_TIME", "1600, LATE", "6400, LATE", "6600, WORTHLESS")
     internal fun `rank depends on lateness`(nowMs: Long, expected: Lateness) {
         // The objective is 2 x 1,000 ms + 500 ms, so the latest start is at 1,500 ms.
-        assertEquals(expected, rank(job("a", 1, 1_000, 0).steps.first(), nowMs, 0).lateness)
+        assertEquals(expected, rank(job("a", 1, 1_000, 0).openSteps.first(), nowMs, 0).lateness)
     }
 
     /** Guards against an order that puts priority before lateness, or ignores priority. */
     @Test
     fun `orders by lateness, priority and latest start`() {
-        val urgent = rank(job("urgent", 0, 1_000, 0).steps.first(), 1_000, 0)
-        val patient = rank(job("patient", 2, 1_000, 0).steps.first(), 1_000, 0)
-        val later = rank(job("later", 2, 1_000, 500).steps.first(), 1_000, 0)
-        val late = rank(job("late", 0, 1_000, -2_000).steps.first(), 1_000, 0)
+        val urgent = rank(job("urgent", 0, 1_000, 0).openSteps.first(), 1_000, 0)
+        val patient = rank(job("patient", 2, 1_000, 0).openSteps.first(), 1_000, 0)
+        val later = rank(job("later", 2, 1_000, 500).openSteps.first(), 1_000, 0)
+        val late = rank(job("late", 0, 1_000, -2_000).openSteps.first(), 1_000, 0)
         val order = listOf(late, later, patient, urgent).sortedWith(STEP_ORDER).map { it.step.job.id }
         assertEquals(listOf("urgent", "patient", "later", "late"), order)
     }
@@ -160,7 +160,7 @@
     /** Guards against a run that is taken for lost, because a report lacks it, before its start request is sent. */
     @Test
     fun `validity is unbounded until a start request is sent`() {
-        val task = job("1", 1, 100, 0).steps.first().tasks.first()
+        val task = job("1", 1, 100, 0).openSteps.first().tasks.first()
         val placement = Placement(task, worker("w"), TaskRun(task.name, 1), 0)
         assertEquals(Long.MAX_VALUE, placement.validUntilWorkerMs)
         placement.extendValidity(500)
