Release the tasks of ended jobs once their end is stored

Cause: TrackedJob kept its steps after the end, and the progress row listed all done tasks of an ended job, which nobody reads.

Change: once the end is stored, a job keeps its id, phase and sizes. A late report about one of its tasks finds a copy of the task that is done, as before.

The new test failed before (400 tasks kept by 20 ended jobs) and passes now.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
@@ -78,6 +78,13 @@
         for (occurrence in range.first.coerceAtLeast(0)..range.last.coerceAtMost(count - 1)) markDone(occurrence)
     }
 
+    /** Stops tracking all steps, after the end of the job. */
+    fun release() {
+        open.clear()
+        nextPosition = count
+        updateOpenSteps()
+    }
+
     private fun open(occurrence: Int): List<TrackedStep> {
         val steps = job.accepted.description.steps.indices.map { TrackedStep(job, occurrence, it) }
         open[occurrence] = steps
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PartitionWriter.kt
@@ -88,7 +88,7 @@
         }
         context.confirmation.recordPartition(partition, outcome.version, sentAtMs)
         phases.forEach { (job, phase) ->
-            job.savedPhase = phase
+            job.noteSaved(phase)
             if (partition != Tables.intakePartitionOf(job.id)) context.jobRegistry.markAlternate(job.id)
         }
         context.log.event("partition_confirmed", "partition" to partition, "ends" to ended.size)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -128,7 +128,7 @@
         roster: Set<RosterWorker>?,
     ) {
         context.savedChangeNumber = maxOf(context.savedChangeNumber, batch.savedUpTo)
-        phases.forEach { (job, phase) -> job.savedPhase = phase }
+        phases.forEach { (job, phase) -> job.noteSaved(phase) }
         counts?.let {
             savedCounts = it
             countsAtMs = context.clock()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
@@ -6,15 +6,20 @@
 import dev.bronzeshore.core.cluster.JobProgress
 import dev.bronzeshore.core.cluster.StepProgress
 import dev.bronzeshore.core.cluster.TaskName
+import dev.bronzeshore.core.cluster.isEnded
 
 internal class TrackedJob(
-    val accepted: AcceptedJob,
+    accepted: AcceptedJob,
     /** Monotonic time that corresponds to the acceptance of the job. */
     val acceptedAtMs: Long,
     /** Monotonic time at which this leader learned of the job. */
     val knownAtMs: Long = acceptedAtMs,
     storedVersion: Long = 0,
 ) {
+    /** The job as stored; without its payload once its end is stored. */
+    var accepted: AcceptedJob = accepted
+        private set
+
     /** Version of the stored row, the first one if there are two; 0 while the job is only announced. */
     var storedVersion: Long = storedVersion
         private set
@@ -34,6 +39,7 @@
 
     /** Last stored phase, which callers may see: an end is shown only once it is stored. */
     var savedPhase: JobPhase = JobPhase.PENDING
+        private set
 
     val occurrences = JobOccurrences(this)
 
@@ -54,12 +60,13 @@
     /** A step of an occurrence that is not done. */
     fun step(occurrence: Int, number: Int): TrackedStep? = occurrences.stepsOf(occurrence)?.getOrNull(number)
 
-    /** The task of that name; a copy that is done if its occurrence is done. */
+    /** The task of that name; a copy that is done if its occurrence is done or the job has ended. */
     fun task(name: TaskName): TrackedTask? {
         val isNamed = name.step in accepted.description.steps.indices &&
             name.occurrence in 0 until accepted.description.occurrences
         if (!isNamed) return null
-        val step = step(name.occurrence, name.step) ?: TrackedStep(this, name.occurrence, name.step).also { it.markAllDone() }
+        val open = if (isOpen) step(name.occurrence, name.step) else null
+        val step = open ?: TrackedStep(this, name.occurrence, name.step).also { it.markAllDone() }
         return step.tasks.getOrNull(name.index)
     }
 
@@ -68,8 +75,20 @@
     /** Estimated time from the start of a step to the end of the job. */
     fun remainingCriticalPathMs(step: TrackedStep): Long = criticalPathFromMs[step.number]
 
-    fun toProgress(): JobProgress =
-        JobProgress(phase, openSteps.mapNotNull { it.toProgress() }, endedAtMs, occurrences.doneRanges)
+    fun toProgress(): JobProgress = if (isOpen) {
+        val steps = openSteps.mapNotNull { it.toProgress() }
+        JobProgress(phase, steps, doneOccurrences = occurrences.doneRanges)
+    } else {
+        JobProgress(phase, endedAtMs = endedAtMs)
+    }
+
+    /** Notes that [phase] is stored; nothing but the end of an ended job is needed then. */
+    fun noteSaved(phase: JobPhase) {
+        savedPhase = phase
+        if (!phase.isEnded) return
+        occurrences.release()
+        accepted = accepted.copy(description = accepted.description.copy(payload = ""))
+    }
 
     /** Restores what a former leader stored. */
     fun restore(progress: JobProgress) {
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
@@ -101,6 +101,18 @@
         assertEquals(1, simulation.workers.checker.starts)
     }
 
+    /** Guards against the tasks of ended jobs, which stay in memory for minutes until the rows of the jobs are deleted. */
+    @Test
+    fun `the tasks of ended jobs are not kept`() = runTest {
+        val simulation = SchedulerSimulation(this, seed = 64, workerCount = 3)
+        simulation.lead()
+        simulation.awaitRoster()
+        repeat(JOBS) { simulation.submit(id(it), step(replicas = 20, cores = 1, durationMs = 100)) }
+        repeat(JOBS) { assertTrue(simulation.awaitPhase(id(it), JobPhase.COMPLETED, withinMs = 2 * OBSERVATION_MS)) }
+        delay(OBSERVATION_MS)
+        assertEquals(0, simulation.runner?.trackedTasks)
+    }
+
     companion object {
         private val SMALL = step(replicas = 1, cores = 1, durationMs = 100)
 
