Bound the memory for all accepted jobs, and refuse the others at once

What was seen: nothing bounded the sum of the jobs that a cluster accepts. Jobs that fit one by one, up to 20,000 tasks each, fill the leader, and each leader after it, because they are stored.

Cause: the only bound, 20,000 tasks, was on a single submission.

The leader knows the sum. It grants each process an allowance with the reply to its watch call; a job beyond it needs a reservation from the leader. An allowance is replaced and never added to, so a takeover needs no accounting: the next leader counts what is stored. Without memory the answer is 429 with 2012 MEMORY_FULL, without a leader to ask 503 with 2013 NO_LEADER, both with a reason and Retry-After, before anything is stored. If the job turns out to be stored already, it is not refused.

--- a/core/src/main/kotlin/dev/bronzeshore/core/ResultCode.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/ResultCode.kt
@@ -43,6 +43,8 @@
     STOPPING(2009, 503, Outcome.NOT_RUN, "This process is stopping; another one will answer."),
     CANCELLED(2010, 409, Outcome.NOT_RUN, "The work was cancelled before it started."),
     NOT_READY(2011, 503, Outcome.NOT_RUN, "This process has no configuration yet."),
+    MEMORY_FULL(2012, 429, Outcome.NOT_RUN, "The accepted jobs take all memory; retry after the given time."),
+    NO_LEADER(2013, 503, Outcome.NOT_RUN, "No process leads, so it is not known whether there is memory for the job."),
 
     OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "The work was sent and its outcome is not known."),
     WRITE_UNKNOWN(
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobOperations.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobOperations.kt
@@ -1,6 +1,7 @@
 /** Operations with which callers submit, query, cancel and count jobs, and their results. */
 package dev.bronzeshore.core.cluster
 
+import dev.bronzeshore.core.ResultCode
 import kotlinx.serialization.Serializable
 
 /** The state of a job as reported to callers. */
@@ -20,9 +21,9 @@
     /** The job was not stored and will never run; the caller may retry after [retryAfterMs]. */
     @Serializable
     public data class Rejected(
+        public val code: ResultCode,
         public val reason: String,
         public val retryAfterMs: Long,
-        public val isOverload: Boolean,
     ) : SubmitAnswer
 
     /** It is not known whether the job was stored. */
--- a/ctl/src/main/kotlin/dev/bronzeshore/ctl/JobTrace.kt
+++ b/ctl/src/main/kotlin/dev/bronzeshore/ctl/JobTrace.kt
@@ -4,7 +4,10 @@
  */
 package dev.bronzeshore.ctl
 
-private const val REJECTED = "Rejected(reason="
+private const val REJECTED = "Rejected("
+
+/** Events that say what became of a submission. */
+private val SUBMISSION_EVENTS = setOf("submission", "memory_refused")
 
 /** [lines] are the lines of all processes, ordered by time. */
 internal class JobTrace(private val lines: List<LogLine>, private val jobId: String) {
@@ -15,7 +18,7 @@
     fun causes(): List<String> {
         val end = jobLines.lastOrNull { it.event == "job_ended" }
         val refusals = jobLines.filter {
-            it.event == "submission" && it.fields["outcome"].orEmpty().startsWith(REJECTED)
+            it.event in SUBMISSION_EVENTS && it.fields["outcome"].orEmpty().startsWith(REJECTED)
         }
         return refusals.map { describeRefusal(it) } + when {
             end == null -> listOf("These logs show no end of the job.").filter { refusals.isEmpty() }
@@ -26,9 +29,9 @@
     }
 
     private fun describeRefusal(line: LogLine): String {
-        val reason = line.fields["outcome"].orEmpty().removePrefix(REJECTED).substringBefore(", retryAfterMs")
+        val reason = line.fields["outcome"].orEmpty().substringAfter("reason=").substringBefore(", retryAfterMs")
         val storeLine = lines.lastOrNull { it.component == "store" && it.source == line.source && it.atMs <= line.atMs }
-        val storeOutage = storeLine?.takeIf { it.event == "lost" }
+        val storeOutage = storeLine?.takeIf { it.event == "lost" && line.event == "submission" }
             ?.let { " The store had not served this process for ${line.atMs - it.atMs} ms: ${it.fields["cause"]}." }
         return "Refused by ${line.source}: $reason." + storeOutage.orEmpty()
     }
--- a/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
+++ b/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
@@ -45,6 +45,9 @@
         private const val REJECTED_OUTCOME =
             """"job":"$JOB","outcome":"Rejected(reason=status 503, retryAfterMs=1000, isOverload=false)""""
 
+        private const val MEMORY_OUTCOME =
+            """"job":"$JOB","outcome":"Rejected(code=MEMORY_FULL, reason=the open jobs take all memory, retryAfterMs=5000)""""
+
         private val lateLog = listOf(
             schedulerLine(1_000, "job_known", """"job":"$JOB","age_ms":19"""),
             schedulerLine(1_300, "recovery_complete", """"term":2"""),
@@ -72,6 +75,14 @@
 
         @JvmStatic
         fun cases(): List<TraceCase> = listOf(
+            TraceCase(
+                "refused for want of memory",
+                listOf(
+                    line(900, "n1", "store", "lost", """"cause":"status 503","since_success_ms":505"""),
+                    line(1_400, "n1", "intake", "memory_refused", MEMORY_OUTCOME),
+                ),
+                listOf("Refused by n1: the open jobs take all memory."),
+            ),
             TraceCase(
                 "late at its account's limit",
                 listOf(
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/SubmissionWriter.kt
@@ -10,6 +10,7 @@
 
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.IntakeRows
@@ -60,7 +61,7 @@
 
     suspend fun submit(job: AcceptedJob): SubmitAnswer {
         val entry = PendingJob(job)
-        if (!pending.trySend(entry).isSuccess) return rejected("the store is too far behind")
+        if (!pending.trySend(entry).isSuccess) return rejected(ResultCode.QUEUE_FULL, "the store is too far behind")
         return entry.answer.await()
     }
 
@@ -135,7 +136,7 @@
     }
 
     private fun rejectedOrUnknown(reason: String, isUncertain: Boolean) =
-        if (isUncertain) SubmitAnswer.Unknown(reason) else rejected(reason)
+        if (isUncertain) SubmitAnswer.Unknown(reason) else rejected(ResultCode.STORE_UNAVAILABLE, reason)
 
-    private fun rejected(reason: String) = SubmitAnswer.Rejected(reason, RETRY_AFTER_MS, isOverload = false)
+    private fun rejected(code: ResultCode, reason: String) = SubmitAnswer.Rejected(code, reason, RETRY_AFTER_MS)
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -24,6 +24,7 @@
     fun accept(accepted: AcceptedJob, version: Long) {
         val ageMs = (context.wallClock() - accepted.acceptedAtMs).coerceIn(0, MAX_AGE_MS)
         val now = context.clock()
+        context.jobMemory.release(accepted.jobId)
         val job = jobs.add(accepted, now - ageMs, now, version) ?: return
         job.isBeyondRate =
             context.submissionRates.exceedsRate(context.accounts(), accepted.account, accepted.acceptedAtMs)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
@@ -2,9 +2,11 @@
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.AcceptedJob
+import dev.bronzeshore.core.cluster.ENDED_JOB_BYTES
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.JobProgress
 import dev.bronzeshore.core.cluster.TaskName
+import dev.bronzeshore.core.cluster.footprintBytes
 
 internal class JobRegistry {
     private val jobs = LinkedHashMap<String, TrackedJob>()
@@ -15,6 +17,11 @@
     private val ended = LinkedHashMap<String, Long>()
     private val storedProgress = HashMap<String, JobProgress>()
 
+    private var openBytes = 0L
+
+    /** Estimated memory for the open jobs and the ends of others. */
+    val heldBytes: Long get() = openBytes + ended.size * ENDED_JOB_BYTES
+
     /** Jobs whose stored rows cannot be decoded: nothing of them is started, and their runs are left alone. */
     private val setAside = HashSet<String>()
 
@@ -31,8 +38,8 @@
     val openJobs: Collection<TrackedJob> get() = open.values
     val allJobs: Collection<TrackedJob> get() = jobs.values
 
-    /** Tasks that are kept in memory. */
-    val trackedTasks: Int get() = jobs.values.sumOf { job -> job.openSteps.sumOf { it.tasks.size } }
+    val memoryUse: MemoryUse
+        get() = MemoryUse(jobs.values.sumOf { job -> job.openSteps.sumOf { it.tasks.size } }, heldBytes)
 
     fun find(jobId: String): TrackedJob? = jobs[jobId]
 
@@ -64,7 +71,10 @@
         val job = TrackedJob(accepted, acceptedAtMs, knownAtMs, storedVersion)
         storedProgress.remove(job.id)?.let { job.restore(it) }
         jobs[job.id] = job
-        if (job.isOpen) open[job.id] = job
+        if (job.isOpen) {
+            open[job.id] = job
+            openBytes += job.accepted.description.footprintBytes
+        }
         return job
     }
 
@@ -81,7 +91,7 @@
     fun close(job: TrackedJob, phase: JobPhase, endedAtMs: Long) {
         job.phase = phase
         job.endedAtMs = endedAtMs
-        open.remove(job.id)
+        if (open.remove(job.id) != null) openBytes -= job.accepted.description.footprintBytes
         ended[job.id] = endedAtMs
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -45,6 +45,9 @@
 private const val WORKER_FEED_PAUSE_MS = 200L
 private const val RETRY_MS = 150L
 
+/** With an answer of the intake table's change feed this recent, the leader knows the jobs that have been accepted. */
+private const val INTAKE_RECENT_MS = 2_000L
+
 /** The table of the store in which workers register, and the decoder of its rows. */
 public class WorkerDirectory(public val table: String, public val decode: (StoredRow) -> WorkerChange)
 
@@ -74,6 +77,9 @@
     private var currentContext: TermContext? = null
     private var jobLifecycle: JobLifecycle? = null
 
+    /** Monotonic time of the last answer of the intake table's change feed; null before recovery. */
+    private var intakeReadAtMs: Long? = null
+
     public suspend fun run(): Unit = coroutineScope {
         val context = TermContext(term, termRowVersion, dependencies, this).also { currentContext = it }
         val stopper = RunStopper(context)
@@ -114,8 +120,27 @@
     /** Accepts a job that a process has stored and announces before the change feed delivers it. */
     public fun acceptAnnounced(job: AcceptedJob): Unit? = jobLifecycle?.accept(job, version = 0)
 
-    /** Tasks that this leader keeps in memory. */
-    public val trackedTasks: Int get() = currentContext?.jobRegistry?.trackedTasks ?: 0
+    /** What this leader keeps in memory. */
+    public val memoryUse: MemoryUse get() = currentContext?.jobRegistry?.memoryUse ?: MemoryUse()
+
+    /** The same when it was last reported, for any thread. */
+    @Volatile
+    public var reportedMemoryUse: MemoryUse = MemoryUse()
+        private set
+
+    /**
+     * Memory that all processes together may use for jobs without asking this leader. Null if the leader does not know
+     * of the jobs that were stored lately.
+     */
+    public val allowanceBytes: Long? get() = knownMemory()?.allowanceBytes
+
+    /** Reserves memory for a job that is about to be stored; null if the leader does not know how much is free. */
+    public fun reserveMemory(jobId: String, bytes: Long): Boolean? = knownMemory()?.reserve(jobId, bytes)
+
+    private fun knownMemory(): JobMemory? {
+        val readAtMs = intakeReadAtMs ?: return null
+        return currentContext?.jobMemory?.takeIf { dependencies.clock() - readAtMs < INTAKE_RECENT_MS }
+    }
 
     /** Monotonic time of the last write to an intake partition that confirmed the term; null if there was none. */
     public val confirmedInPartitionAtMs: Long? get() = currentContext?.confirmation?.confirmedInPartitionAtMs
@@ -131,7 +156,10 @@
     }
 
     private suspend fun followIntake(lifecycle: JobLifecycle, fromVersion: Long) {
-        followTable(Tables.INTAKE, fromVersion, pauseMs = 0) { rows -> rows.forEach { applyIntakeRow(it, lifecycle) } }
+        intakeReadAtMs = dependencies.clock()
+        followTable(Tables.INTAKE, fromVersion, pauseMs = 0, onRead = { intakeReadAtMs = dependencies.clock() }) { rows ->
+            rows.forEach { applyIntakeRow(it, lifecycle) }
+        }
     }
 
     private suspend fun followWorkers(registry: WorkerRegistry, fromVersion: Long) {
@@ -151,6 +179,7 @@
         fromVersion: Long,
         pauseMs: Long,
         onFailure: () -> Unit = {},
+        onRead: () -> Unit = {},
         applyRows: (List<StoredRow>) -> Unit,
     ) {
         var version = fromVersion
@@ -169,6 +198,7 @@
                 ifRight = { page ->
                     if (page.rows.isNotEmpty()) applyRows(page.rows)
                     version = maxOf(version, page.version)
+                    onRead()
                     if (pauseMs > 0) delay(pauseMs)
                 },
             )
@@ -176,7 +206,7 @@
     }
 
     private suspend fun maintain(context: TermContext, registry: WorkerRegistry, stallDetector: StallDetector) {
-        val loadReport = LoadReport(context)
+        val loadReport = LoadReport(context) { reportedMemoryUse = it }
         while (true) {
             delay(MAINTENANCE_PERIOD_MS)
             context.guarded("maintenance") {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
@@ -4,7 +4,7 @@
 private const val PERIOD_MS = 1_000L
 private const val PERCENT = 100
 
-internal class LoadReport(private val context: TermContext) {
+internal class LoadReport(private val context: TermContext, private val onMemoryUse: (MemoryUse) -> Unit) {
     private var reportedAtMs = context.clock()
 
     /** Logs a line if the last one is old enough. */
@@ -17,6 +17,8 @@
         val free = accepting.sumOf { it.free.processorsMillicores }
         val waiting = context.jobRegistry.openJobs.flatMap { it.openSteps }.filter { it.hasPendingTasks && it.isUnblocked }
         val byLateness = waiting.groupingBy { rank(it, now, startDelayMs = 0).lateness }.eachCount()
+        val memoryUse = context.jobRegistry.memoryUse
+        onMemoryUse(memoryUse)
         context.log.event(
             "load",
             "workers" to context.workerPool.workers.size,
@@ -29,7 +31,8 @@
             "waiting_worthless" to (byLateness[Lateness.WORTHLESS] ?: 0),
             "gang_waits" to context.gangWaits,
             "jobs" to context.jobRegistry.allJobs.size,
-            "tracked_tasks" to context.jobRegistry.trackedTasks,
+            "tracked_tasks" to memoryUse.trackedTasks,
+            "held_bytes" to memoryUse.heldBytes,
         )
     }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -55,6 +55,7 @@
     val firstRunNumber = (term - 1) * RUNS_PER_TERM + 1
     val workerPool = WorkerPool()
     val jobRegistry = JobRegistry()
+    val jobMemory = JobMemory(jobRegistry, clock)
     val adviceShares = AdviceShares()
     val fences = PartitionFences(this)
     val confirmation = TermConfirmation(termRowVersion, renewal.renewedAtMs, fences::formerVersion)
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -2,6 +2,7 @@
 package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.scheduler.LossMetrics
+import dev.bronzeshore.scheduler.MemoryUse
 import dev.bronzeshore.scheduler.SchedulerMetrics
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
@@ -17,7 +18,7 @@
     configVersion: () -> Long,
     configAgeMs: () -> Long,
     term: () -> Long,
-    trackedTasks: () -> Long,
+    memoryUse: () -> MemoryUse,
 ) {
     private val registry = PrometheusRegistry()
     private val answers = counter("bronzeshore_caller_answers_total", "Answers to callers.", "method", "status")
@@ -51,7 +52,12 @@
             configAgeMs,
         )
         gauge("bronzeshore_leader_term", "Term that this process leads, or 0.", term)
-        gauge("bronzeshore_tracked_tasks", "Tasks that the leader keeps in memory; 0 elsewhere.", trackedTasks)
+        gauge("bronzeshore_tracked_tasks", "Tasks that the leader keeps in memory; 0 elsewhere.") {
+            memoryUse().trackedTasks.toLong()
+        }
+        gauge("bronzeshore_held_bytes", "Estimated memory of the leader for accepted jobs; 0 elsewhere.") {
+            memoryUse().heldBytes
+        }
     }
 
     fun countAnswer(method: String, status: Int) = answers.labelValues(method, status.toString()).inc()
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -32,6 +32,7 @@
 import dev.bronzeshore.scheduler.AdviceClient
 import dev.bronzeshore.scheduler.LeaderDependencies
 import dev.bronzeshore.scheduler.LeaderTermRunner
+import dev.bronzeshore.scheduler.MemoryUse
 import dev.bronzeshore.scheduler.TermRenewal
 import dev.bronzeshore.scheduler.WorkerDirectory
 import io.ktor.network.selector.SelectorManager
@@ -97,7 +98,7 @@
         configVersion = { config.current?.version ?: 0 },
         configAgeMs = { configProof.ageMs ?: 0 },
         term = { election.currentTerm?.term ?: 0 },
-        trackedTasks = { runner?.trackedTasks?.toLong() ?: 0 },
+        memoryUse = { runner?.reportedMemoryUse ?: MemoryUse() },
     )
     private val localJobs: JobOperations =
         createStoreJobOperations(store, MonotonicClock, { health.isAvailable }, scope)
@@ -114,9 +115,14 @@
         ),
     )
     private val leaderClient: LeaderClient by lazy {
-        LeaderClient(ownRow, election, { directory.peers }, peerClient, newPeerClient())
+        LeaderClient(ownRow, election, { directory.peers }, peerClient, newPeerClient()) { bytes ->
+            onControlThread { gate.updateAllowance(bytes) }
+        }
     }
     private var runner: LeaderTermRunner? = null
+    private val gate = SubmissionGate(MonotonicClock, jobs, { runner }, { directory.peers.size + 1 }) {
+        leaderClient.reserve(it)
+    }
     private val inFlight = AtomicInteger()
     private var termJob: Job? = null
 
@@ -267,8 +273,9 @@
         handlerOf(ANNOUNCE_CALL) { AnnounceReply(onControlThread { runner?.acceptAnnounced(it) } != null).right() },
         handlerOf(WATCH_CALL) { request ->
             delay(request.holdMs.coerceIn(0, WATCH_HOLD_MS))
-            WatchReply(election.currentTerm != null).right()
+            onControlThread { WatchReply(election.currentTerm != null, gate.grantedBytes) }.right()
         },
+        handlerOf(RESERVE_CALL) { ReserveReply(onControlThread { gate.reserveHere(it) }).right() },
         handlerOf(CANCEL_CALL) { CancelReply(onControlThread { localJobs.cancel(it.jobId) }).right() },
         handlerOf(COUNT_CALL) { CountReply(onControlThread { localJobs.waitingJobCount(it.queue) }).right() },
         handlerOf(CONFIG_CALL) { config.replyFor(it.knownVersion).right() },
@@ -297,7 +304,7 @@
     }
 
     private suspend fun submit(job: AcceptedJob): SubmitAnswer {
-        val answer = jobs.submit(job)
+        val answer = gate.submit(job)
         if (answer is SubmitAnswer.Accepted && health.typicalWriteMs > ANNOUNCE_MIN_LATENCY_MS) {
             scope.launch(control) { runner?.acceptAnnounced(job) ?: leaderClient.announce(job) }
         }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/JobRequestForwarder.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/JobRequestForwarder.kt
@@ -7,6 +7,7 @@
 package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.EventLog
+import dev.bronzeshore.core.ResultCode
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.JobOperations
 import dev.bronzeshore.core.cluster.NodeRow
@@ -47,7 +48,11 @@
         if (health.isAvailable) submitHedged(job) else forward(job, storeUnavailable())
 
     private fun storeUnavailable() =
-        SubmitAnswer.Rejected("the store does not serve this process", health.retryAfterMs, false)
+        SubmitAnswer.Rejected(
+            ResultCode.STORE_UNAVAILABLE,
+            "the store does not serve this process",
+            health.retryAfterMs,
+        )
 
     /** Starts a write from this process; if it takes too long, a peer writes the same row as well. */
     private suspend fun submitHedged(job: AcceptedJob): SubmitAnswer = coroutineScope {
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderClient.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaderClient.kt
@@ -37,6 +37,9 @@
 private const val QUERY_TIMEOUT_MS = 200L
 private const val QUERY_BACKOFF_MS = 1_000L
 
+/** Few jobs need a reservation, and they are rejected without an answer, so the leader gets more time. */
+private const val RESERVE_TIMEOUT_MS = 500L
+
 /** A takeover reads and writes the store once, which takes more than a second in a slow period. */
 private const val HANDOVER_TIMEOUT_MS = 2_500L
 
@@ -50,6 +53,8 @@
     private val client: TimedPeerClient,
     /** Has separate connections, because a call that times out closes the connection it used. */
     private val watchClient: TimedPeerClient,
+    /** Called with the memory for jobs that the leader grants to this process. */
+    private val onAllowance: suspend (bytes: Long) -> Unit = {},
 ) {
     private val log = EventLog("leadership")
     private var isHandingOver = false
@@ -65,7 +70,11 @@
 
     private suspend fun watchOnce(leader: KnownLeader) {
         val startedAtMs = MonotonicClock()
-        if (watchClient.call(leader.row(), WATCH_CALL, WatchRequest(WATCH_HOLD_MS), WATCH_TIMEOUT_MS) != null) return
+        val reply = watchClient.call(leader.row(), WATCH_CALL, WatchRequest(WATCH_HOLD_MS), WATCH_TIMEOUT_MS)
+        if (reply != null) {
+            reply.allowanceBytes?.let { onAllowance(it) }
+            return
+        }
         if (MonotonicClock() - startedAtMs > CONNECTION_FAILURE_MAX_MS ||
             election.knownLeader?.term != leader.term
         ) {
@@ -91,6 +100,13 @@
         return reply?.phase
     }
 
+    /** Asks the leader for memory for a job; null if it does not answer or cannot tell. */
+    suspend fun reserve(request: ReserveRequest): Boolean? {
+        val leader = election.knownLeader ?: return null
+        if (leader.processName == own.processName) return null
+        return client.call(leader.row(), RESERVE_CALL, request, RESERVE_TIMEOUT_MS)?.isReserved
+    }
+
     /** Tells the leader about a stored job, for slow periods in which the change feed would be late. */
     suspend fun announce(job: AcceptedJob) {
         val leader = election.knownLeader ?: return
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
@@ -51,8 +51,17 @@
 @Serializable
 internal data class WatchRequest(val holdMs: Long)
 
+/** [allowanceBytes] is the memory for jobs that the called process may use; null if the leader cannot tell. */
 @Serializable
-internal data class WatchReply(val isLeading: Boolean)
+internal data class WatchReply(val isLeading: Boolean, val allowanceBytes: Long? = null)
+
+/** Asks the leader for memory for a job that is about to be stored. */
+@Serializable
+internal data class ReserveRequest(val jobId: String, val bytes: Long)
+
+/** [isReserved] is null if the called process does not lead or does not know how much is free. */
+@Serializable
+internal data class ReserveReply(val isReserved: Boolean?)
 
 /** [phase] is null if the leader does not know the job. */
 @Serializable
@@ -68,6 +77,7 @@
 internal data class AnnounceReply(val isTaken: Boolean)
 
 internal val ANNOUNCE_CALL = CallType("announce", AcceptedJob.serializer(), AnnounceReply.serializer())
+internal val RESERVE_CALL = CallType("reserve", ReserveRequest.serializer(), ReserveReply.serializer())
 internal val WATCH_CALL = CallType("watch", WatchRequest.serializer(), WatchReply.serializer())
 internal val PHASE_CALL = CallType("phase", JobRequest.serializer(), PhaseReply.serializer())
 internal val HANDOVER_CALL = CallType("handover", HandoverRequest.serializer(), HandoverReply.serializer())
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
@@ -57,7 +57,7 @@
         repeat(JOBS) { simulation.submitScheduled(id(it), case.schedule, case.step) }
         repeat(TAKEOVERS) { takeover ->
             delay(OBSERVATION_MS)
-            val tracked = simulation.runner?.trackedTasks ?: 0
+            val tracked = simulation.runner?.memoryUse?.trackedTasks ?: 0
             assertTrue(tracked <= MAX_TRACKED_TASKS, "$tracked tasks in memory, takeover $takeover")
             assertTrue(simulation.largestProgressRow() <= MAX_ROW_BYTES, "progress rows, takeover $takeover")
             simulation.stopLeader()
@@ -110,7 +110,7 @@
         repeat(JOBS) { simulation.submit(id(it), step(replicas = 20, cores = 1, durationMs = 100)) }
         repeat(JOBS) { assertTrue(simulation.awaitPhase(id(it), JobPhase.COMPLETED, withinMs = 2 * OBSERVATION_MS)) }
         delay(OBSERVATION_MS)
-        assertEquals(0, simulation.runner?.trackedTasks)
+        assertEquals(0, simulation.runner?.memoryUse?.trackedTasks)
     }
 
     companion object {
