Delete the rows of ended jobs as fast as jobs end

What was seen (by reading): a leader deleted 30 ended jobs in five seconds, six a second, however many ended. The rest stays in its memory and in the store, and a takeover reads all of it; at 100 jobs a second that is 340,000 an hour.

Cause: MAX_JOBS_IN_TRANSACTION bounded the period as well as the transaction.

Change: up to 500 jobs a period, in transactions of 30 as before. Jobs of one partition share a transaction, so that each job costs fewer writes.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
@@ -22,6 +22,12 @@
 /** Jobs deleted by one transaction, which holds up to 100 entries and must not delay other writes. */
 private const val MAX_JOBS_IN_TRANSACTION = 30
 
+/**
+ * Jobs deleted in one period, 100 a second. With fewer than end in the same time, the ends of jobs fill the memory of the
+ * leader.
+ */
+private const val MAX_JOBS_IN_PERIOD = 500
+
 internal class RowGarbageCollector(private val context: TermContext) {
     /** Ended jobs whose accepted rows this leader has deleted. */
     private val jobsWithoutAcceptedRow = HashSet<String>()
@@ -45,11 +51,14 @@
     /** Deletes all rows of jobs whose status retention is over. */
     suspend fun deleteExpiredJobs() {
         val endedBeforeMs = context.wallClock() - context.bounds.statusRetentionMs - RETENTION_MARGIN_MS
-        val expired = context.jobRegistry.endedBefore(endedBeforeMs).take(MAX_JOBS_IN_TRANSACTION)
-        val collected = expired.groupBy {
-            Tables.intakePartitionOf(it)
-        }.values.flatMap { deleteIntakeRows(it, withEnd = true) }
-        if (collected.isEmpty() || !deleteProgress(collected)) return
+        val expired = context.jobRegistry.endedBefore(endedBeforeMs).take(MAX_JOBS_IN_PERIOD)
+        val collected = expired.groupBy { Tables.intakePartitionOf(it) }.values
+            .flatMap { it.chunked(MAX_JOBS_IN_TRANSACTION) }
+            .flatMap { deleteIntakeRows(it, withEnd = true) }
+            .chunked(MAX_JOBS_IN_TRANSACTION)
+            .filter { deleteProgress(it) }
+            .flatten()
+        if (collected.isEmpty()) return
         collected.forEach { context.jobRegistry.forget(it) }
         jobsWithoutAcceptedRow -= collected.toSet()
         context.log.event("rows_deleted", "jobs" to collected.size)
