--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobOperations.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobOperations.kt
@@ -20,11 +20,8 @@
 
     /** The job was not stored and will never run; the caller may retry after [retryAfterMs]. */
     @Serializable
-    public data class Rejected(
-        public val code: ResultCode,
-        public val reason: String,
-        public val retryAfterMs: Long,
-    ) : SubmitAnswer
+    public data class Rejected(public val code: ResultCode, public val reason: String, public val retryAfterMs: Long) :
+        SubmitAnswer
 
     /** It is not known whether the job was stored. */
     @Serializable
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/JobAdmission.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/JobAdmission.kt
@@ -2,9 +2,9 @@
  * Decides whether a job may be stored: all accepted jobs must fit in the memory of a leader, also of the next one.
  *
  * The load it answers: callers hand in more jobs than can run, each of them small enough by itself. The leader grants
- * each process an allowance, which the process uses without a call. A job beyond it needs a reservation from the leader.
- * An allowance is replaced by the next one and never added to it, so nothing has to be returned after a failure of
- * either side. Not thread-safe.
+ * each process an allowance, which the process uses without a call. A job beyond it needs a reservation from the
+ * leader. An allowance is replaced by the next one and never added to it, so nothing has to be returned after a failure
+ * of either side. Not thread-safe.
  */
 package dev.bronzeshore.intake
 
@@ -57,7 +57,11 @@
         }
         val refusal = when (reserve(job.jobId, bytes)) {
             true -> return null
-            false -> SubmitAnswer.Rejected(ResultCode.MEMORY_FULL, "the open jobs take all memory", MEMORY_RETRY_AFTER_MS)
+            false -> SubmitAnswer.Rejected(
+                ResultCode.MEMORY_FULL,
+                "the open jobs take all memory",
+                MEMORY_RETRY_AFTER_MS,
+            )
             null -> SubmitAnswer.Rejected(ResultCode.NO_LEADER, "no leader can be asked", LEADER_RETRY_AFTER_MS)
         }
         return answerUnlessStored(job, bytes, refusal)
@@ -69,7 +73,11 @@
     }
 
     /** An earlier attempt of the caller may have been accepted; then the job runs and must not be rejected. */
-    private suspend fun answerUnlessStored(job: AcceptedJob, bytes: Long, refusal: SubmitAnswer.Rejected): SubmitAnswer? {
+    private suspend fun answerUnlessStored(
+        job: AcceptedJob,
+        bytes: Long,
+        refusal: SubmitAnswer.Rejected,
+    ): SubmitAnswer? {
         val answer = when (stateOf(job.jobId)) {
             is StateAnswer.Found -> return null
             is StateAnswer.NoSuchJob -> refusal
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
@@ -106,8 +106,7 @@
     }
 
     /** With a negative period, later occurrences are due earlier. */
-    private fun atPosition(position: Int): Int =
-        if ((schedule?.periodMs ?: 0) < 0) count - 1 - position else position
+    private fun atPosition(position: Int): Int = if ((schedule?.periodMs ?: 0) < 0) count - 1 - position else position
 }
 
 private val MIN_TIME_MS = Long.MIN_VALUE.toBigInteger()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -157,7 +157,9 @@
 
     private suspend fun followIntake(lifecycle: JobLifecycle, fromVersion: Long) {
         intakeReadAtMs = dependencies.clock()
-        followTable(Tables.INTAKE, fromVersion, pauseMs = 0, onRead = { intakeReadAtMs = dependencies.clock() }) { rows ->
+        followTable(Tables.INTAKE, fromVersion, pauseMs = 0, onRead = {
+            intakeReadAtMs = dependencies.clock()
+        }) { rows ->
             rows.forEach { applyIntakeRow(it, lifecycle) }
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
@@ -15,7 +15,10 @@
         val accepting = context.workerPool.workers.filter { it.accepts(now) }
         val capacity = accepting.sumOf { it.entry.capacity.processorsMillicores }
         val free = accepting.sumOf { it.free.processorsMillicores }
-        val waiting = context.jobRegistry.openJobs.flatMap { it.openSteps }.filter { it.hasPendingTasks && it.isUnblocked }
+        val waiting = context.jobRegistry.openJobs.flatMap { it.openSteps }.filter {
+            it.hasPendingTasks &&
+                it.isUnblocked
+        }
         val byLateness = waiting.groupingBy { rank(it, now, startDelayMs = 0).lateness }.eachCount()
         val memoryUse = context.jobRegistry.memoryUse
         onMemoryUse(memoryUse)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
@@ -22,10 +22,7 @@
 /** Jobs deleted by one transaction, which holds up to 100 entries and must not delay other writes. */
 private const val MAX_JOBS_IN_TRANSACTION = 30
 
-/**
- * Jobs deleted in one period, 100 a second. With fewer than end in the same time, the ends of jobs fill the memory of the
- * leader.
- */
+/** Jobs deleted in one period, 100 a second. If more end in the same time, their ends fill the leader's memory. */
 private const val MAX_JOBS_IN_PERIOD = 500
 
 internal class RowGarbageCollector(private val context: TermContext) {
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/JobRequestForwarder.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/JobRequestForwarder.kt
@@ -47,12 +47,11 @@
     suspend fun submit(job: AcceptedJob): SubmitAnswer =
         if (health.isAvailable) submitHedged(job) else forward(job, storeUnavailable())
 
-    private fun storeUnavailable() =
-        SubmitAnswer.Rejected(
-            ResultCode.STORE_UNAVAILABLE,
-            "the store does not serve this process",
-            health.retryAfterMs,
-        )
+    private fun storeUnavailable() = SubmitAnswer.Rejected(
+        ResultCode.STORE_UNAVAILABLE,
+        "the store does not serve this process",
+        health.retryAfterMs,
+    )
 
     /** Starts a write from this process; if it takes too long, a peer writes the same row as well. */
     private suspend fun submitHedged(job: AcceptedJob): SubmitAnswer = coroutineScope {
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
@@ -36,11 +36,7 @@
 private const val TAKEOVER_PERIOD_MS = 1_300L
 
 class ScheduledJobsTest {
-    internal class Case(
-        private val name: String,
-        val schedule: JobSchedule,
-        val step: StepDescription = SMALL,
-    ) {
+    internal class Case(private val name: String, val schedule: JobSchedule, val step: StepDescription = SMALL) {
         override fun toString() = name
     }
 
@@ -77,7 +73,11 @@
         val simulation = SchedulerSimulation(this, seed = 62, workerCount = 3)
         simulation.lead()
         simulation.awaitRoster()
-        simulation.submitScheduled(SMALL_JOB, JobSchedule(simulation.nowMs(), PERIOD_MS, FEW), SMALL.copy(estimateMs = 300))
+        simulation.submitScheduled(
+            SMALL_JOB,
+            JobSchedule(simulation.nowMs(), PERIOD_MS, FEW),
+            SMALL.copy(estimateMs = 300),
+        )
         repeat(TAKEOVERS) {
             delay(TAKEOVER_PERIOD_MS)
             simulation.stopLeader()
