--- a/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
+++ b/ctl/src/test/kotlin/dev/bronzeshore/ctl/JobTraceTest.kt
@@ -46,7 +46,7 @@
             """"job":"$JOB","outcome":"Rejected(reason=status 503, retryAfterMs=1000, isOverload=false)""""
 
         private const val MEMORY_OUTCOME =
-            """"job":"$JOB","outcome":"Rejected(code=MEMORY_FULL, reason=the open jobs take all memory, retryAfterMs=5000)""""
+            """"job":"$JOB","outcome":"Rejected(code=MEMORY_FULL, reason=no memory is free, retryAfterMs=5000)""""
 
         private val lateLog = listOf(
             schedulerLine(1_000, "job_known", """"job":"$JOB","age_ms":19"""),
@@ -81,7 +81,7 @@
                     line(900, "n1", "store", "lost", """"cause":"status 503","since_success_ms":505"""),
                     line(1_400, "n1", "intake", "memory_refused", MEMORY_OUTCOME),
                 ),
-                listOf("Refused by n1: the open jobs take all memory."),
+                listOf("Refused by n1: no memory is free."),
             ),
             TraceCase(
                 "late at its account's limit",
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/ScheduledJobsTest.kt
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Guards against occurrences that run again or are skipped after a takeover, because what is done is stored as numbers
-     * only.
+     * Guards against occurrences that run again or are skipped after a takeover, because what is done is stored as
+     * numbers only.
      */
     @Test
     fun `each occurrence runs once across takeovers`() = runTest {
@@ -101,7 +101,7 @@
         assertEquals(1, simulation.workers.checker.starts)
     }
 
-    /** Guards against the tasks of ended jobs, which stay in memory for minutes until the rows of the jobs are deleted. */
+    /** Guards against the tasks of ended jobs, which stay in memory for minutes until the jobs' rows are deleted. */
     @Test
     fun `the tasks of ended jobs are not kept`() = runTest {
         val simulation = SchedulerSimulation(this, seed = 64, workerCount = 3)
