Keep no failed runs of service tasks

Cause: the numbers of all failed runs of a task were kept in memory and in the job's progress row, also of service tasks, which have no limit of attempts.

Change: failures of service tasks are not kept, and those that an earlier release stored are dropped when the row is read.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -110,8 +110,9 @@
     /** A failure of an earlier run counts as well: after a takeover, reports of several workers arrive in any order. */
     private fun recordEarlierFailure(task: TrackedTask, end: TaskEnd) {
         if (end.kind != EndKind.FAILED || !task.step.job.isOpen || task.isDone) return
+        if (task.step.description.isService) return
         val job = task.step.job
-        if (countFailure(task, end.run.run) >= job.terms.maxAttempts && !task.step.description.isService) {
+        if (countFailure(task, end.run.run) >= job.terms.maxAttempts) {
             close(job, JobPhase.FAILED, "task ${task.name} failed ${job.terms.maxAttempts} times")
         }
         context.markChanged(job)
@@ -202,8 +203,10 @@
     private fun failed(task: TrackedTask, end: TaskEnd, worker: TrackedWorker) {
         val step = task.step
         task.failedOn += worker.id
+        // A service task starts again however often it fails, so its failures are not kept.
+        if (step.description.isService) return restartLater(task)
         val failures = countFailure(task, end.run.run)
-        if (!step.description.isService && failures >= step.job.terms.maxAttempts) {
+        if (failures >= step.job.terms.maxAttempts) {
             close(step.job, JobPhase.FAILED, "task ${task.name} failed $failures times")
         } else {
             restartLater(task)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -98,6 +98,7 @@
         for (index in progress.doneTasks) tasks.getOrNull(index)?.isDone = true
         for ((index, checkpoint) in progress.checkpoints) tasks.getOrNull(index)?.checkpoint = checkpoint
         for ((index, crashes) in progress.crashedRuns) crashes.forEach { tasks.getOrNull(index)?.crashes?.record(it) }
+        if (description.isService) return
         if (description.isGang) {
             failedGangRuns += progress.failedRuns[0].orEmpty()
         } else {
