--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
@@ -34,8 +34,6 @@
         if (schedule == null) open(0)
     }
 
-    fun isDone(occurrence: Int): Boolean = occurrence in done
-
     /** Wall-clock time at which the next occurrence is due that has not been opened; null if there is none. */
     fun nextDueAtMs(): Long? = nextUnopened()?.let { dueAtMs(it) }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -156,14 +156,16 @@
     }
 
     private suspend fun followIntake(lifecycle: JobLifecycle, fromVersion: Long) {
-        intakeReadAtMs = dependencies.clock()
-        followTable(Tables.INTAKE, fromVersion, pauseMs = 0, onRead = {
-            intakeReadAtMs = dependencies.clock()
-        }) { rows ->
+        noteIntakeRead()
+        followTable(Tables.INTAKE, fromVersion, pauseMs = 0, onRead = ::noteIntakeRead) { rows ->
             rows.forEach { applyIntakeRow(it, lifecycle) }
         }
     }
 
+    private fun noteIntakeRead() {
+        intakeReadAtMs = dependencies.clock()
+    }
+
     private suspend fun followWorkers(registry: WorkerRegistry, fromVersion: Long) {
         followTable(
             dependencies.workers.table,
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LoadReport.kt
@@ -15,10 +15,8 @@
         val accepting = context.workerPool.workers.filter { it.accepts(now) }
         val capacity = accepting.sumOf { it.entry.capacity.processorsMillicores }
         val free = accepting.sumOf { it.free.processorsMillicores }
-        val waiting = context.jobRegistry.openJobs.flatMap { it.openSteps }.filter {
-            it.hasPendingTasks &&
-                it.isUnblocked
-        }
+        val steps = context.jobRegistry.openJobs.flatMap { it.openSteps }
+        val waiting = steps.filter { it.hasPendingTasks && it.isUnblocked }
         val byLateness = waiting.groupingBy { rank(it, now, startDelayMs = 0).lateness }.eachCount()
         val memoryUse = context.jobRegistry.memoryUse
         onMemoryUse(memoryUse)
