Log when a leader goes on without a confirmed term

The logs did not tell a former leader that goes on renewing leases from a new leader that counts them too short. No logic has changed.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -228,12 +228,14 @@
 
     private suspend fun maintain(context: TermContext, registry: WorkerRegistry, stallDetector: StallDetector) {
         val loadReport = LoadReport(context) { reportedMemoryUse = it }
+        val termReport = TermReport(context)
         while (true) {
             delay(MAINTENANCE_PERIOD_MS)
             context.guarded("maintenance") {
                 registry.expireLeases()
                 stallDetector.restartStalledRuns()
                 loadReport.reportIfDue()
+                termReport.reportChange()
             }
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermConfirmation.kt
@@ -63,7 +63,7 @@
     }
 
     /** Monotonic time at which the last confirmed write to any partition was sent: the term was still held then. */
-    private val heldAtMs: Long get() = maxOf(NEVER_MS, confirmedAtMs, confirmedInPartitionAtMs ?: NEVER_MS)
+    val heldAtMs: Long get() = maxOf(NEVER_MS, confirmedAtMs, confirmedInPartitionAtMs ?: NEVER_MS)
 
     /** Monotonic time at which leases were over that the next leader may have renewed. */
     private var expiryAtMs = NEVER_MS
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -247,7 +247,10 @@
                 areFormerLeasesOver(now)
             }
             if (!isOver) continue
-            if (worker.recordIdleUntilAnswer()) context.wakeJournal()
+            if (worker.recordIdleUntilAnswer()) {
+                context.log.event("former_leases_over", "worker" to worker.id, "listed" to worker.isListed)
+                context.wakeJournal()
+            }
             val (open, expired) = worker.placements.partition { !it.isReported && !isLeaseOver(it, now) }
             if (!worker.isListed && open.isEmpty()) {
                 markGone(worker, "the worker is not listed and does not answer")
