--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -204,6 +204,19 @@
         leaderDispatcher.isFrozen = false
     }
 
+    /** Cuts [process] off from the store, and together with [workers] from the next leader and all other workers. */
+    fun cutOff(process: String, workers: Set<String>) {
+        store.faults.refusedCallers += process
+        this.workers.faults.unreachableFrom[process] = this.workers.ids.toSet() - workers
+        this.workers.faults.unreachableFrom["leader-${term + 1}"] = workers
+    }
+
+    /** Ends the cut of [cutOff]. */
+    fun endCut() {
+        store.faults.refusedCallers.clear()
+        workers.faults.unreachableFrom.clear()
+    }
+
     fun stopLeader() {
         leader?.cancel()
     }
