Add a case that shows a voters' write forgotten while it may still apply

Cause: VoterSet.withdraw removes every unsettled write of the same names. If a write of the voters gets no answer, is repeated with the same names, and the repetition is refused (Conflict or NotApplied), the first one is forgotten although it may have applied, or may apply later. Change: one case in VoterSetTest; no change of the code.

--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterSetTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterSetTest.kt
@@ -67,6 +67,13 @@
                 propose(NEW, 1)
                 propose(setOf("x"), 1)
             },
+            Case("a repeated change is refused while the first one is open", "ab", isMajority = false) {
+                observe(OLD, 1)
+                propose(NEW, 1)
+                observe(OLD, 1)
+                propose(NEW, 1)
+                withdraw(NEW)
+            },
         )
     }
 }
