Keep an open write of voters when a later one of the same voters is refused

Cause: a refused write of voters took all open writes of the same voters for settled. Evidence: VoterSetTest, 'a repeated change is refused while the first one is open', failed on the commit before; the whole interleaving is by reading. Change: only the entry of the refused write goes. Result: VoterSetTest passes.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/VoterSet.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/VoterSet.kt
@@ -24,9 +24,10 @@
         unsettled += version to voters
     }
 
-    /** The write of [voters] has not applied, and will not. */
+    /** The last write of [voters] has not applied, and will not; an earlier one of the same voters still may. */
     fun withdraw(voters: Set<String>) {
-        unsettled.removeAll { it.second == voters }
+        val index = unsettled.indexOfLast { it.second == voters }
+        if (index >= 0) unsettled.removeAt(index)
     }
 
     /** True if voters are stored, and [names] are a majority of each set that may be. */
