Count short suspensions of a machine once they add up

Cause: the elapsed clock dropped each lead of the wall clock below 50 ms, so that many short suspensions made a period seem too short. Change: a lead below that stays open and counts once it has grown. Evidence: by reading; the new case of ElapsedClockTest has ten suspensions of 40 ms.

--- a/core/src/main/kotlin/dev/bronzeshore/core/ElapsedClock.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/ElapsedClock.kt
@@ -7,7 +7,7 @@
  */
 package dev.bronzeshore.core
 
-/** A smaller lead is due to the adjustment of the wall clock, or to the time between the two readings. */
+/** A smaller lead may be due to the time between the two readings; it counts once it has grown to this. */
 private const val MIN_SUSPENSION_MS = 50L
 
 /** Milliseconds since some moment, suspensions included; thread-safe. */
@@ -19,8 +19,9 @@
     public fun nowMs(): Long {
         val monotonicMs = monotonic()
         val currentLeadMs = wall() - monotonicMs
-        if (currentLeadMs - leadMs >= MIN_SUSPENSION_MS) suspendedMs += currentLeadMs - leadMs
-        leadMs = currentLeadMs
+        val gainedMs = currentLeadMs - leadMs
+        if (gainedMs >= MIN_SUSPENSION_MS) suspendedMs += gainedMs
+        if (gainedMs >= MIN_SUSPENSION_MS || gainedMs < 0) leadMs = currentLeadMs
         return monotonicMs + suspendedMs
     }
 }
--- a/core/src/test/kotlin/dev/bronzeshore/core/ElapsedClockTest.kt
+++ b/core/src/test/kotlin/dev/bronzeshore/core/ElapsedClockTest.kt
@@ -31,6 +31,7 @@
         fun cases() = listOf(
             Case("both clocks run", listOf(100L to 100L, 900L to 900L), 900),
             Case("the machine is suspended", listOf(100L to 100L, 110L to 4_110L), 4_110),
+            Case("it is suspended often for a short time", (1L..10L).map { it * 100 to it * 140 }, 1_400),
             Case("it is suspended twice", listOf(10L to 1_010L, 20L to 2_020L), 2_020),
             Case("the wall clock is set forward", listOf(100L to 60_100L), 60_100),
             Case("the wall clock is set back", listOf(100L to -5_000L, 200L to -4_900L), 200),
