Wait for the limit of an outage if the voters cannot be read

Cause: a row of voters that cannot be decoded counted as none, so that a successor took former leaders for revoked at once. The limit of an outage was the same time on the clocks of both leaders, which may differ in rate. Change: without readable voters the successor waits as if most of them were lost; its limit is longer by 3%. Evidence and result: by reading; the row is written by leaders alone.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
@@ -35,6 +35,9 @@
 /** An outage of the store that lasts longer ends the leader's leases, so that a successor need not wait for ever. */
 private const val OUTAGE_LIMIT_MS = 35 * 60_000L
 
+/** Clocks of two machines may differ in rate by up to this factor. */
+private const val CLOCK_RATE_MARGIN = 1.03
+
 /** Votes are asked for when two heartbeats are missing, often enough that two lost rounds do no harm. */
 private const val VOTES_WANTED_AFTER_MS = 900L
 private const val VOTE_PERIOD_MS = 450L
@@ -72,8 +75,10 @@
     public val elapsedClock: ClockMs,
 )
 
-/** What is stored of the voters: their names, null if none are stored, and the version of their row. */
-private class StoredVoters(val names: Set<String>?, val version: Long)
+/** What is stored of the voters: their names, null if none are stored or can be read, and the version of their row. */
+private class StoredVoters(val names: Set<String>?, val version: Long) {
+    val isMalformed: Boolean get() = names == null && version > 0
+}
 
 /** The authority of one term; confined to the control thread. */
 public class LeaseQuorum(private val context: LeaseQuorumContext, private val term: LeaderTerm) {
@@ -138,13 +143,15 @@
     }
 
     private suspend fun revokeFormerTerms() = coroutineScope {
-        val former = firstRead().also { voters.observe(it.names, it.version) }.names.orEmpty()
+        val stored = firstRead().also { voters.observe(it.names, it.version) }
+        val former = stored.names.orEmpty()
         former.forEach { answeredAtMs.putIfAbsent(it, startedAtMs) }
         val promised = HashSet<String>()
         context.voter.revokeBelow(term.term)
         promised += context.processName
         var isLate = false
-        while (former.isNotEmpty() && !isMajorityOf(former, promised) && !isOutageOver) {
+        val isWaiting = { stored.isMalformed || (former.isNotEmpty() && !isMajorityOf(former, promised)) }
+        while (isWaiting() && !isOutageOver) {
             askToRevoke(former - promised) { promised += it }
             if (!isLate && context.clock() - startedAtMs > LATE_REVOCATION_MS) {
                 isLate = true
@@ -162,7 +169,8 @@
         }
     }
 
-    private val isOutageOver: Boolean get() = context.clock() - startedAtMs > OUTAGE_LIMIT_MS + AUTHORITY_MS
+    private val isOutageOver: Boolean
+        get() = context.clock() - startedAtMs > CLOCK_RATE_MARGIN * (OUTAGE_LIMIT_MS + AUTHORITY_MS)
 
     private suspend fun watchAuthority() {
         var wasHeld = true
