Plan a start again that was not sent for want of authority

Callers saw: a task could wait for the rest of the term on a worker that was never told to start it (found by review, before a landing). Cause: a start that was planned while the leader might grant leases, and not sent because it might not any more, counted as sent: the placement stayed, and no report could show that the run is missing. Evidence: UnsentStartTest failed before. Change: without a request the placement goes at once, and the task is planned again; after one, no further attempt is made. Result: UnsentStartTest passes.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -50,7 +50,7 @@
                 return
             }
             // A start is a short lease.
-            if (!context.authority.mayGrantLeases()) return@repeat
+            if (!context.authority.mayGrantLeases()) return giveUpAttempts(placement, isUncertain)
             val answer = context.calls.start(placement.worker.entry, requestFor(placement, ticket))
             if (answer.result != StartResult.UNKNOWN) return handleAnswer(placement, answer, isUncertain)
             isUncertain = true
@@ -62,6 +62,12 @@
             )
             probeSuspect(placement.worker)
         }
+        giveUpAttempts(placement, isUncertain)
+    }
+
+    /** The worker's next report tells of a start that was sent; one that was not sent is planned again. */
+    private fun giveUpAttempts(placement: Placement, isUncertain: Boolean) {
+        if (!isUncertain) return release(placement, "a member was not started")
         context.log.event(
             "start_uncertain",
             "task" to placement.run.task,
@@ -72,6 +78,14 @@
         if (placement.task.step.description.isGang) stopGang(placement.task.step, "a member's start got no answer")
     }
 
+    /** The run does not exist: its task waits for another start. */
+    private fun release(placement: Placement, reason: String) {
+        placement.worker.remove(placement)
+        placement.task.notBeforeMs = context.clock() + REFUSED_PAUSE_MS
+        if (placement.task.step.description.isGang) stopGang(placement.task.step, reason)
+        context.wakePlanner()
+    }
+
     private fun requestFor(placement: Placement, ticket: String?): StartRequest {
         val worker = placement.worker
         val validUntil = worker.clock.nowOnWorker(context.clock()) + START_VALIDITY_MS
@@ -103,10 +117,7 @@
         // An earlier request without a response may have started the run: the worker's next report tells.
         if (isUncertain || placement.worker.placement(placement.run) !== placement) return
         if (placement.state == PlacementState.STOPPING) return
-        placement.worker.remove(placement)
-        placement.task.notBeforeMs = context.clock() + REFUSED_PAUSE_MS
-        if (placement.task.step.description.isGang) stopGang(placement.task.step, "a member was refused: $result")
-        context.wakePlanner()
+        release(placement, "a member was refused: $result")
     }
 
     private fun markStarted(placement: Placement, workerClockMs: Long?) {
