Store an odd number of voters, and keep those that are needed

Cause: with an even number of voters a cut into halves left no majority on either side: the leader's runs lapsed and the successor waited for the limit of an outage. A leader that reached the store and few processes made these the only voters after 16 s. Change: where the number would be even, the leader is left out; most of the voters are left out only after two minutes.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
@@ -47,9 +47,6 @@
 private const val CHECK_PERIOD_MS = 150L
 private const val REVOKE_RETRY_MS = 300L
 
-/** A process that has not answered for three rounds is no voter while the store confirms the leader's term. */
-private const val VOTER_LOST_AFTER_MS = 16_000L
-
 /** Time after which a successor logs that it waits for the majority. */
 private const val LATE_REVOCATION_MS = 5_000L
 
@@ -146,16 +143,20 @@
         val stored = firstRead().also { voters.observe(it.names, it.version) }
         val former = stored.names.orEmpty()
         former.forEach { answeredAtMs.putIfAbsent(it, startedAtMs) }
-        val promised = HashSet<String>()
         context.voter.revokeBelow(term.term)
-        promised += context.processName
+        val promised = former.filterTo(HashSet()) { it == context.processName }
         var isLate = false
         val isWaiting = { stored.isMalformed || (former.isNotEmpty() && !isMajorityOf(former, promised)) }
         while (isWaiting() && !isOutageOver) {
             askToRevoke(former - promised) { promised += it }
             if (!isLate && context.clock() - startedAtMs > LATE_REVOCATION_MS) {
                 isLate = true
-                log.event("revocation_waits", "term" to term.term, "promised" to promised.size, "of" to former.size)
+                log.event(
+                    "revocation_waits",
+                    "term" to term.term,
+                    "promised" to promised,
+                    "missing" to former - promised,
+                )
             }
             delay(REVOKE_RETRY_MS)
         }
@@ -189,15 +190,14 @@
             if (isUnconfirmed) continue
             val wanted = wantedVoters()
             // The directory of the processes may not have been read yet.
-            if (wanted.size == 1 && isTermNew) continue
+            if (wanted.size == 1 && context.clock() - startedAtMs < VOTER_LOST_AFTER_MS) continue
             if (wanted != voters.stored) storeVoters(wanted)
         }
     }
 
-    /** Processes that have answered lately, and the voters of former terms, which had no time to answer yet. */
     private fun wantedVoters(): Set<String> {
         val now = context.clock()
-        return answeredAtMs.filterValues { now - it < VOTER_LOST_AFTER_MS }.keys + context.processName
+        return selectVoters(context.processName, voters.stored, answeredAtMs.mapValues { now - it.value })
     }
 
     private suspend fun storeVoters(wanted: Set<String>) {
--- /dev/null
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterSelectionTest.kt
@@ -0,0 +1,49 @@
+/** Which processes become voters. */
+package dev.bronzeshore.leadership
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+private const val OWN = "a"
+
+class VoterSelectionTest {
+    /** Names are single letters; [silent] ones have not answered for the given time, [others] just have. */
+    data class Case(
+        val name: String,
+        val stored: String?,
+        val others: String,
+        val silent: Map<Char, Long>,
+        val selected: String,
+    ) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `guards against voters that leave two halves, or most of which are lost`(case: Case) {
+        val silenceMs = case.others.associate { "$it" to 0L } + case.silent.mapKeys { "${it.key}" }
+        val stored = case.stored?.map { "$it" }?.toSet()
+        assertEquals(case.selected.map { "$it" }.toSet(), selectVoters(OWN, stored, silenceMs))
+    }
+
+    companion object {
+        private val LOST = VOTER_LOST_AFTER_MS
+        private val LONG_LOST = MAJORITY_LOST_AFTER_MS
+
+        @JvmStatic
+        fun cases(): List<Any> = listOf(
+            Case("a single process", null, "", emptyMap(), "a"),
+            Case("two processes", null, "b", emptyMap(), "b"),
+            Case("three processes", null, "bc", emptyMap(), "abc"),
+            Case("six processes", null, "bcdef", emptyMap(), "bcdef"),
+            Case("one joins", "abc", "bcd", emptyMap(), "bcd"),
+            Case("one was silent for a short time", "abc", "b", mapOf('c' to LOST - 1), "abc"),
+            Case("one is lost", "abc", "b", mapOf('c' to LOST), "b"),
+            Case("two of five are lost", "abcde", "bc", mapOf('d' to LOST, 'e' to LOST), "abc"),
+            Case("most are silent", "abcde", "b", "cde".associateWith { LOST }, "abcde"),
+            Case("most are lost for long", "abcde", "b", "cde".associateWith { LONG_LOST }, "b"),
+            Case("the leader is no voter, and most are silent", "bcdef", "b", "cdef".associateWith { LOST }, "bcdef"),
+        )
+    }
+}
