Ask for votes by name, and without a deadline of the wall clock

Cause: a call for a vote carried the term alone, so that another process at the same address could answer; and it was dropped if the clocks of the two machines differed by more than 10 s, so that no majority was found (review, by reading). Result: tests of the package pass; no test has clocks that differ.

--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterProcess.kt
@@ -125,7 +125,7 @@
         AuthorityClocks(clock, elapsedClock::nowMs),
         { election },
         { directory.peers },
-        newPeerClient(),
+        newPeerClient(VOTE_CLOCK_SKEW_ALLOWANCE_MS),
     )
     private val terms = TermSupervisor(
         scope + control,
@@ -223,7 +223,8 @@
         if (!isStoreAvailable && !isServedElsewhere) handOver(term)
     }
 
-    private fun newPeerClient() = TimedPeerClient(PeerClient(selector, wallClock, scope), wallClock)
+    private fun newPeerClient(clockSkewAllowanceMs: Long = CLOCK_SKEW_ALLOWANCE_MS) =
+        TimedPeerClient(PeerClient(selector, wallClock, scope), wallClock, clockSkewAllowanceMs)
 
     /** A term that cannot go on is given up at once, so that it is never held without its work. */
     private fun releaseFailed(term: LeaderTerm, failure: Exception) {
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaseVoting.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaseVoting.kt
@@ -23,6 +23,9 @@
 /** Processes answer from memory; a vote that comes later is of little use. */
 private const val VOTER_TIMEOUT_MS = 1_000L
 
+/** A vote that is given late does no harm, so wall clocks may differ by any time. */
+internal const val VOTE_CLOCK_SKEW_ALLOWANCE_MS = 86_400_000L
+
 /** The clocks by which a leader judges its authority. */
 internal class AuthorityClocks(val monotonic: ClockMs, val elapsed: ClockMs)
 
@@ -38,9 +41,9 @@
 ) {
     private val voter = LeaseVoter { election().knownLeader?.term }
     private val calls = VoterCalls(
-        vote = { peer, term -> client.call(peer, VOTE_CALL, TermRequest(term), VOTER_TIMEOUT_MS)?.hasVoted },
+        vote = { peer, term -> client.call(peer, VOTE_CALL, requestTo(peer, term), VOTER_TIMEOUT_MS)?.hasVoted },
         revokeBelow = { peer, term ->
-            client.call(peer, REVOKE_CALL, TermRequest(term), VOTER_TIMEOUT_MS)?.hasPromised
+            client.call(peer, REVOKE_CALL, requestTo(peer, term), VOTER_TIMEOUT_MS)?.hasPromised
         },
     )
 
@@ -62,14 +65,19 @@
 
     /** Handlers of the calls of leaders; [control] is the control thread of this process. */
     fun handlers(control: CoroutineDispatcher, scope: CoroutineScope): List<CallHandler> = listOf(
-        handlerOf(VOTE_CALL) { VoteReply(withContext(control) { voter.votesFor(it.term) }).right() },
+        handlerOf(VOTE_CALL) { request ->
+            val hasVoted = request.voter == processName && withContext(control) { voter.votesFor(request.term) }
+            VoteReply(hasVoted).right()
+        },
         handlerOf(REVOKE_CALL) { request ->
             withContext(control) { voter.revokeBelow(request.term) }
             scope.launch(control) { endTermBefore(request.term) }
-            RevokeReply(hasPromised = true).right()
+            RevokeReply(hasPromised = request.voter == processName).right()
         },
     )
 
+    private fun requestTo(peer: NodeRow, term: Long) = TermRequest(term, peer.processName)
+
     /** Without its own vote the leader grants no leases from the promise on; here its other work ends too. */
     private suspend fun endTermBefore(term: Long) {
         election().currentTerm?.takeIf { it.term < term }?.let { election().stepDown(it) }
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/PeerMessages.kt
@@ -76,9 +76,9 @@
 @Serializable
 internal data class AnnounceReply(val isTaken: Boolean)
 
-/** Names the leader's term in a call about its leases. */
+/** Names the leader's term and the asked process, as another one may have its address by now. */
 @Serializable
-internal data class TermRequest(val term: Long)
+internal data class TermRequest(val term: Long, val voter: String)
 
 /** [hasVoted] is true if the called process knows of no later term. */
 @Serializable
