Keep an earlier write of the same voters open when a later one is refused

withdraw removed all entries with equal voters. An earlier write of the same voters without an answer may still apply after the repeated one was refused. Only the last equal entry is removed now.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/VoterSet.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/VoterSet.kt
@@ -26,7 +26,8 @@
 
     /** The write of [voters] has not applied, and will not. */
     fun withdraw(voters: Set<String>) {
-        unsettled.removeAll { it.second == voters }
+        val index = unsettled.indexOfLast { it.second == voters }
+        if (index >= 0) unsettled.removeAt(index)
     }
 
     /** True if voters are stored, and [names] are a majority of each set that may be. */
