Search all histories of the leases within a small scope

A breadth-first search over a model of store, processes and a worker checks it for all histories of few processes: no successor takes a lease for over that is not. Each rule of the design is left out once; twelve of thirteen have a counterexample of 6 to 13 steps. None is found without the rule that a leader which has promised grants nothing.

--- /dev/null
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseSearchTest.kt
@@ -0,0 +1,87 @@
+/**
+ * Searches all histories of the lease model within a scope, for one in which a successor takes leases for over that
+ * are not. Each rule of the design is left out once, to see that the search would find its lack.
+ *
+ * The larger scopes run with `-Dlease.search=large`, by hand.
+ */
+package dev.bronzeshore.leadership
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+private const val MAX_STATES = 1_500_000
+private const val MAX_STATES_LARGE = 8_000_000
+
+private val isLarge = System.getProperty("lease.search") == "large"
+
+private val LEASES = LeaseScope(processes = 3, lastTerm = 2, hasReleases = true)
+private val RESTARTS = LeaseScope(processes = 3, lastTerm = 2, restarts = 1)
+private val SUSPENSIONS = LeaseScope(processes = 3, lastTerm = 2, suspensions = 1)
+private val PAIR = LeaseScope(processes = 2, lastTerm = 3, restarts = 1, changes = 1, suspensions = 1)
+
+/** One or two writes of the voters; nothing in their rules depends on the lengths of times. */
+private val CHANGES = LeaseScope(
+    processes = 3,
+    lastTerm = 2,
+    changes = 2,
+    firstVoters = listOf(0b001, 0b111),
+    authority = 1,
+    lease = 1,
+)
+private val CHANGE_IN_THREE_TERMS = CHANGES.copy(lastTerm = 3, changes = 1, hasReleases = true)
+
+class LeaseSearchTest {
+    internal class Case(val scope: LeaseScope, val removed: Rule? = null, val steps: Int? = null) {
+        override fun toString() = listOfNotNull(removed?.let { "without $it" }, scope).joinToString()
+    }
+
+    // Guards against a task that runs twice because a former leader's lease outlives what its successor waits for.
+    @ParameterizedTest
+    @MethodSource("scopes")
+    internal fun `no successor takes a lease for over that is not`(case: Case) {
+        val result = search(case)
+        assertEquals(null, result.history)
+        assertTrue(result.isWhole, "the scope is larger than the limit")
+    }
+
+    // Guards against a search that would not notice the lack of a rule.
+    @ParameterizedTest
+    @MethodSource("removedRules")
+    internal fun `without a rule a lease outlives the wait`(case: Case) {
+        val result = search(case)
+        assertEquals(case.steps, result.history?.size, "${result.history}")
+    }
+
+    private fun search(case: Case): SearchResult {
+        val startedAtNs = System.nanoTime()
+        val result = LeaseSearch(case.scope, case.removed, if (isLarge) MAX_STATES_LARGE else MAX_STATES).run()
+        val tookMs = (System.nanoTime() - startedAtNs) / 1_000_000
+        println("$case: ${result.states} states, depth ${result.depth}, $tookMs ms; ${result.history.orEmpty()}")
+        return result
+    }
+
+    companion object {
+        @JvmStatic
+        fun scopes(): List<Any> = listOf(LEASES, RESTARTS, SUSPENSIONS, PAIR, CHANGES).map { Case(it) }
+
+        @JvmStatic
+        fun removedRules(): List<Any> = listOf(
+            Case(LEASES, Rule.AUTHORITY_ENDS, steps = 9),
+            Case(RESTARTS, Rule.VOTER_HAS_READ_THE_STORE, steps = 12),
+            Case(LEASES, Rule.VOTER_KEEPS_ITS_PROMISE, steps = 11),
+            Case(LEASES, Rule.SUCCESSOR_NEEDS_PROMISES, steps = 10),
+            Case(LEASES, Rule.WAIT_COVERS_LAST_VOTES, steps = 7),
+            Case(LEASES, Rule.WAIT_COVERS_LEASES, steps = 6),
+            Case(CHANGE_IN_THREE_TERMS, Rule.VOTERS_CHANGE_AFTER_REVOCATION, steps = 11),
+            Case(CHANGE_IN_THREE_TERMS, Rule.VOTERS_WRITTEN_UNDER_TERM, steps = 13),
+            Case(CHANGES, Rule.OPEN_WRITES_COUNT, steps = 10),
+            Case(CHANGES, Rule.WITHDRAWS_ONE_WRITE, steps = 12),
+            Case(SUSPENSIONS, Rule.CLOCK_INCLUDES_SUSPENSIONS, steps = 11),
+            Case(LEASES.copy(firstVoters = listOf(0b011)), Rule.MORE_THAN_HALF, steps = 9),
+            // Nothing rests on this rule: among the voters whose promises revoke a term is one that it needs.
+            Case(LEASES, Rule.LEADER_KEEPS_ITS_OWN_PROMISE, steps = null),
+        )
+    }
+}
