--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
@@ -3,8 +3,9 @@
  *
  * There is no state of the network: each call between two parties may go through or not, at each moment, so that each
  * cut and outage is among the histories. What a later answer could do, the same answer at once could do too; but a
- * write of the voters may apply later, and a vote is counted against the voters of a later moment. One worker is
- * enough: workers do not influence each other, and a task runs twice only if a lease lives on at its former worker.
+ * write of the voters may apply later, a vote is counted against the voters of a later moment, and a leader is held up
+ * between its decision to grant a lease and the request. One worker is enough: workers do not influence each other, and
+ * a task runs twice only if a lease lives on at its former worker.
  */
 package dev.bronzeshore.leadership
 
@@ -16,6 +17,7 @@
 internal class LeaseModel(private val scope: LeaseScope, private val removed: Rule? = null) {
     private val processes = 0 until scope.processes
     private val voters = VoterModel(scope, removed)
+    private val requests = RequestModel(scope, removed)
     private val waitTime = when (removed) {
         Rule.WAIT_COVERS_LAST_VOTES -> scope.lease
         Rule.WAIT_COVERS_LEASES -> scope.authority
@@ -72,6 +74,7 @@
             }
         }
         voters.applyLate(state, step)
+        requests.arrive(state, step)
     }
 
     private fun expandEnvironment(state: LeaseState, process: Int, step: Step) {
@@ -92,6 +95,7 @@
     private fun expandLeader(state: LeaseState, process: Int, step: Step) {
         if (scope.hasReleases) step.to(state.copy().apply { end(process) }, "ends its term", process, -1)
         grant(state, process)?.let { step.to(it, "grants a lease", process, -1) }
+        if (mayGrant(state, process)) requests.send(state, process, step)
         readFormer(state, process)?.let { step.to(it, "reads the former voters", process, -1) }
         askForVotes(state, process)?.let { step.to(it, "asks for votes", process, -1) }
         count(state, process)?.let { step.to(it, "counts its votes again", process, -1) }
@@ -106,16 +110,20 @@
     fun afterTime(state: LeaseState): LeaseState = state.copy().apply {
         if (this[Shared.LEASE_LEFT] > 0) this[Shared.LEASE_LEFT] -= 1
         if (this[Shared.LEASE_LEFT] == 0) this[Shared.LEASE_TERM] = 0
+        requests.passTime(this)
         for (process in processes) {
-            if (this[process, Own.HELD] == 0) continue
-            val isSuspended = this[Shared.SUSPENDED] == process + 1
-            if (!isSuspended || removed != Rule.CLOCK_INCLUDES_SUSPENSIONS) {
-                for (age in AGES) this[process, age] = minOf(this[process, age] + 1, scope.authority)
-                dropVainRound(process)
-            }
-            if (!isSuspended && this[process, Own.REVOCATION] == 2) {
-                this[process, Own.REVOKED_AGE] = minOf(this[process, Own.REVOKED_AGE] + 1, waitTime)
-            }
+            if (this[process, Own.HELD] != 0) passTime(process)
+        }
+    }
+
+    private fun LeaseState.passTime(process: Int) {
+        val isSuspended = this[Shared.SUSPENDED] == process + 1
+        if (!isSuspended || removed != Rule.CLOCK_INCLUDES_SUSPENSIONS) {
+            for (age in AGES) this[process, age] = minOf(this[process, age] + 1, scope.authority)
+            dropVainRound(process)
+        }
+        if (!isSuspended && this[process, Own.REVOCATION] == 2) {
+            this[process, Own.REVOKED_AGE] = minOf(this[process, Own.REVOKED_AGE] + 1, waitTime)
         }
     }
 
@@ -225,16 +233,8 @@
     private fun LeaseState.countVotes(process: Int): Boolean =
         voters.count(this, process).also { if (it) dropVainRound(process) }
 
-    fun grant(state: LeaseState, process: Int): LeaseState? {
-        val term = state[process, Own.HELD]
-        if (state[Shared.FENCE] > term || !mayGrant(state, process)) return null
-        if (state[Shared.LEASE_LEFT] == scope.lease && state[Shared.LEASE_TERM] == term) return null
-        return state.copy().apply {
-            this[Shared.LEASE_LEFT] = scope.lease
-            this[Shared.LEASE_TERM] = term
-            this[Shared.FENCE] = term
-        }
-    }
+    fun grant(state: LeaseState, process: Int): LeaseState? =
+        if (mayGrant(state, process)) requests.grant(state, state[process, Own.HELD], scope.lease) else null
 
     private fun votesFor(state: LeaseState, process: Int, term: Int): Boolean {
         val hasNotRead = state[process, Own.OBSERVED] == 0
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseScope.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseScope.kt
@@ -15,6 +15,7 @@
     WITHDRAWS_ONE_WRITE,
     CLOCK_INCLUDES_SUSPENSIONS,
     MORE_THAN_HALF,
+    DEADLINE_READ_BEFORE_AUTHORITY,
     LEADER_KEEPS_ITS_OWN_PROMISE,
 }
 
@@ -25,6 +26,8 @@
     val restarts: Int = 0,
     val changes: Int = 0,
     val suspensions: Int = 0,
+    /** Time may pass between the decision to grant a lease and the arrival of the request. */
+    val hasLateRequests: Boolean = false,
     /** Leaders may end their term by themselves, and lead again. */
     val hasReleases: Boolean = false,
     /** Time for which a vote or a call holds, in units of the model. */
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseSearchTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseSearchTest.kt
@@ -17,6 +17,7 @@
 private val isLarge = System.getProperty("lease.search") == "large"
 
 private val LEASES = LeaseScope(processes = 3, lastTerm = 2, hasReleases = true)
+private val LATE_REQUESTS = LEASES.copy(hasReleases = false, hasLateRequests = true)
 private val RESTARTS = LeaseScope(processes = 3, lastTerm = 2, restarts = 1)
 private val SUSPENSIONS = LeaseScope(processes = 3, lastTerm = 2, suspensions = 1)
 private val PAIR = LeaseScope(processes = 2, lastTerm = 3, restarts = 1, changes = 1, suspensions = 1)
@@ -26,11 +27,24 @@
     processes = 3,
     lastTerm = 2,
     changes = 2,
-    firstVoters = listOf(0b001, 0b111),
+    firstVoters = listOf(0b000, 0b001, 0b111),
     authority = 1,
     lease = 1,
 )
-private val CHANGE_IN_THREE_TERMS = CHANGES.copy(lastTerm = 3, changes = 1, hasReleases = true)
+private val CHANGE_IN_THREE_TERMS =
+    CHANGES.copy(lastTerm = 3, changes = 1, hasReleases = true, firstVoters = listOf(0b001, 0b111))
+
+private val SCOPES = listOf(LEASES, LATE_REQUESTS, RESTARTS, SUSPENSIONS, PAIR, CHANGES)
+private val LARGE_SCOPES = listOf(
+    CHANGE_IN_THREE_TERMS,
+    CHANGE_IN_THREE_TERMS.copy(hasReleases = false, restarts = 1),
+    LEASES.copy(lastTerm = 3),
+    LATE_REQUESTS.copy(lastTerm = 3),
+    LeaseScope(processes = 3, lastTerm = 2, restarts = 2, suspensions = 1),
+    LeaseScope(processes = 4, lastTerm = 2, firstVoters = listOf(0b0011, 0b0111, 0b1111)),
+    LeaseScope(processes = 4, lastTerm = 2, restarts = 1),
+    CHANGES.copy(restarts = 1, firstVoters = listOf(0b001)),
+)
 
 class LeaseSearchTest {
     internal class Case(val scope: LeaseScope, val removed: Rule? = null, val steps: Int? = null) {
@@ -64,7 +78,7 @@
 
     companion object {
         @JvmStatic
-        fun scopes(): List<Any> = listOf(LEASES, RESTARTS, SUSPENSIONS, PAIR, CHANGES).map { Case(it) }
+        fun scopes(): List<Any> = (SCOPES + if (isLarge) LARGE_SCOPES else emptyList()).map { Case(it) }
 
         @JvmStatic
         fun removedRules(): List<Any> = listOf(
@@ -80,6 +94,7 @@
             Case(CHANGES, Rule.WITHDRAWS_ONE_WRITE, steps = 12),
             Case(SUSPENSIONS, Rule.CLOCK_INCLUDES_SUSPENSIONS, steps = 11),
             Case(LEASES.copy(firstVoters = listOf(0b011)), Rule.MORE_THAN_HALF, steps = 9),
+            Case(LATE_REQUESTS, Rule.DEADLINE_READ_BEFORE_AUTHORITY, steps = 10),
             // Nothing rests on this rule: among the voters whose promises revoke a term is one that it needs.
             Case(LEASES, Rule.LEADER_KEEPS_ITS_OWN_PROMISE, steps = null),
         )
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseState.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseState.kt
@@ -20,6 +20,10 @@
     /** Highest fencing token that the worker has seen. */
     FENCE,
 
+    /** A grant that was decided on and has not arrived yet: its term, 0 if there is none, and the time to its deadline. */
+    REQUEST_TERM,
+    REQUEST_LEFT,
+
     /** Number of the suspended process, from 1; 0 if none is. */
     SUSPENDED,
     RESTARTS_LEFT,
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterModel.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterModel.kt
@@ -33,7 +33,7 @@
         return true
     }
 
-    private fun isMajority(state: LeaseState, process: Int): Boolean {
+    fun isMajority(state: LeaseState, process: Int): Boolean {
         val granted = state[process, Own.GRANTED]
         val stored = state[process, Own.STORED]
         if (stored == 0 || !isMajorityOf(stored, granted)) return false
@@ -114,17 +114,17 @@
         }
     }
 
-    private fun observe(state: LeaseState, process: Int, voters: Int, version: Int) {
+    fun observe(state: LeaseState, process: Int, voters: Int, version: Int) {
         state[process, Own.STORED] = voters
         val kept = openOf(state, process).filter { it.first == version }
         setOpen(state, process, kept)
     }
 
-    private fun propose(state: LeaseState, process: Int, version: Int, voters: Int) {
+    fun propose(state: LeaseState, process: Int, version: Int, voters: Int) {
         setOpen(state, process, openOf(state, process) + (version to voters))
     }
 
-    private fun withdraw(state: LeaseState, process: Int, voters: Int) {
+    fun withdraw(state: LeaseState, process: Int, voters: Int) {
         val open = openOf(state, process)
         val kept = if (removed == Rule.WITHDRAWS_ONE_WRITE) {
             open.filter { it.second != voters }
