--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TaskStarter.kt
@@ -49,9 +49,10 @@
             ) {
                 return
             }
-            // A start is a short lease.
+            // A start is a short lease. It is valid from before the check, so that a pause after it extends nothing.
+            val sentAtMs = context.clock()
             if (!context.authority.mayGrantLeases()) return giveUpAttempts(placement, isUncertain)
-            val answer = context.calls.start(placement.worker.entry, requestFor(placement, ticket))
+            val answer = context.calls.start(placement.worker.entry, requestFor(placement, ticket, sentAtMs))
             if (answer.result != StartResult.UNKNOWN) return handleAnswer(placement, answer, isUncertain)
             isUncertain = true
             context.log.event(
@@ -86,9 +87,9 @@
         context.wakePlanner()
     }
 
-    private fun requestFor(placement: Placement, ticket: String?): StartRequest {
+    private fun requestFor(placement: Placement, ticket: String?, sentAtMs: Long): StartRequest {
         val worker = placement.worker
-        val validUntil = worker.clock.nowOnWorker(context.clock()) + START_VALIDITY_MS
+        val validUntil = worker.clock.nowOnWorker(sentAtMs) + START_VALIDITY_MS
         placement.extendValidity(validUntil)
         worker.clock.extendLease(validUntil)
         return StartRequest(
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/UnsentStartTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/UnsentStartTest.kt
@@ -49,10 +49,23 @@
         assertEquals(CAPACITY, leader.worker.free)
     }
 
+    /** Guards against a start that is valid from after a pause in which a successor took the leases for over. */
+    @Test
+    fun `a start is valid from before the check of the authority`() = runTest {
+        val leader = Leader(backgroundScope)
+        leader.worker.clock.observe(workerClockMs = 0, nowMs = 0)
+        leader.pauseInCheckMs = 8_000
+        leader.starter.start(PlannedStart(leader.task, leader.worker, run = 1, ticket = null))
+        runCurrent()
+        assertEquals(START_VALIDITY_MS, leader.firstValidUntilMs)
+    }
+
     private class Leader(scope: CoroutineScope) {
         private var nowMs = 0L
         var mayGrant = true
+        var pauseInCheckMs = 0L
         var starts = 0
+        var firstValidUntilMs: Long? = null
         val context = TermContext(term = 1, termRowVersion = 1, dependencies(), scope)
         private val stopper = RunStopper(context)
         private val lifecycle = JobLifecycle(context, stopper)
@@ -87,6 +100,11 @@
             reports.handle(worker, report, atMs - 1)
         }
 
+        private fun checkAuthority(): Boolean {
+            nowMs += pauseInCheckMs
+            return mayGrant
+        }
+
         private fun dependencies() = LeaderDependencies(
             store = ClusterStore(
                 transact = { StoreOutcome.NotApplied("unused") },
@@ -94,7 +112,11 @@
                 changes = { _, _, _ -> ReadFailure.Unavailable("unused").left() },
             ),
             calls = WorkerCalls(
-                start = { _, _ -> StartAnswer(StartResult.UNKNOWN).also { starts++ } },
+                start = { _, request ->
+                    starts++
+                    firstValidUntilMs = firstValidUntilMs ?: request.validUntilWorkerMs
+                    StartAnswer(StartResult.UNKNOWN)
+                },
                 stop = { _, _, _ -> true },
                 hold = { _, _ -> HoldAnswer.Unreachable("unused") },
             ),
@@ -112,7 +134,7 @@
             metrics = SchedulerMetrics(),
             termControl = TermControl(
                 TermRenewal({ null }, {}),
-                TermAuthority(mayGrantLeases = { mayGrant }, formerRevokedAtMs = { 0 }, maintain = {}),
+                TermAuthority(::checkAuthority, formerRevokedAtMs = { 0 }, maintain = {}),
                 onLeadershipLost = {},
             ),
             adviceClients = { emptyList() },
