Cut data centres and groups of machines off in the fault soak

Since it also took front-1 for the leader at all times: the row of the voters names all processes, and the soak looked for a name in any row of the leader's partition. Change: processes and workers are spread over three data centres. Kinds DATA_CENTRE_CUT, _OTHER, _LEADER_KILL, _SUSPENSION and GROUPS_CUT cut a group off from all else, silently, by links of their own between the processes. STORE_DOWN_LONG stops the store for all for over 13 s; runs that lapse meanwhile are violations (LAPSED). With these kinds some jobs have tasks of 14 to 28 s. The leader is read from the row of the term.

--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakAdvice.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakAdvice.kt
@@ -19,7 +19,7 @@
 private const val GOOD_PERCENT = 60
 private const val PERCENT = 100
 
-internal class SoakAdvice(private val log: SoakLog) {
+internal class SoakAdvice(private val log: SoakLog, private val cuts: SoakCuts) {
     private val locks = ConcurrentHashMap<String, Any>()
 
     /** Start times of the workers that are up, by their ids. */
@@ -28,7 +28,9 @@
     /** Opens a port for one caller, whose calls are handled one after the other. */
     fun openFor(caller: String): SoakHttpServer {
         val lock = locks.computeIfAbsent(caller) { Any() }
-        return SoakHttpServer { request -> synchronized(lock) { advise(request) } }.apply { open() }
+        return SoakHttpServer { request ->
+            if (cuts.isCutOff(caller)) null else synchronized(lock) { advise(request) }
+        }.apply { open() }
     }
 
     fun recordStart(workerId: String, bornWallMs: Long) {
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakChecker.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakChecker.kt
@@ -10,6 +10,10 @@
     private val found = ArrayList<SoakViolation>()
     private var startCount = 0
 
+    /** False while the store is down for all and a majority of the processes is up: leases have to be renewed then. */
+    @Volatile
+    var isLapseAllowed = true
+
     val violations: List<SoakViolation> get() = synchronized(this) { found.toList() }
     val starts: Int get() = synchronized(this) { startCount }
 
@@ -87,6 +91,7 @@
         run.endedAtMs = log.nowMs
         run.end = end
         run.endNumber = number
+        if (end == "lapsed" && !isLapseAllowed) report("LAPSED", run.task, "its lease expired in an outage: $run")
     }
 
     /** The end of [run] was acknowledged, without an expiry of the worker's leases since then. */
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakClients.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakClients.kt
@@ -16,11 +16,14 @@
 private const val RETRY_MS = 400L
 private const val MAX_ATTEMPTS = 40
 
-internal class SoakClients(private val processes: List<SoakProcess>, seed: Long, hasSiteJobs: Boolean) :
-    AutoCloseable {
-    private val random = Random(seed)
+internal class SoakClients(private val processes: List<SoakProcess>, options: SoakOptions) : AutoCloseable {
+    private val random = Random(options.seed)
     private val nextJob: () -> SoakJob =
-        if (hasSiteJobs) SoakSiteJobSource(Random(seed))::next else SoakJobSource(Random(seed))::next
+        if (options.hasSiteJobs) {
+            SoakSiteJobSource(Random(options.seed))::next
+        } else {
+            SoakJobSource(Random(options.seed), options.isCutting)::next
+        }
     private val executor: ScheduledExecutorService = Executors.newScheduledThreadPool(THREADS) { work ->
         Thread(null, work, "client", 262_144).apply { isDaemon = true }
     }
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakDeployment.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakDeployment.kt
@@ -20,24 +20,26 @@
     private val seed = options.seed
     val log = SoakLog()
     val checker = SoakChecker(log)
-    val store = SoakStore(log, seed)
-    val advice = SoakAdvice(log)
-    val fleet = SoakFleet(store, checker, advice, log)
+    val cuts = SoakCuts(log)
+    private val peers = SoakPeerLinks(cuts, isLinked = options.isCutting)
+    val store = SoakStore(log, seed, cuts, peers)
+    val advice = SoakAdvice(log, cuts)
+    val fleet = SoakFleet(store, checker, advice, cuts, log)
     private val random = Random(seed)
     val processes = List(options.processCount) { index ->
         val name = "front-${index + 1}"
         SoakProcess(
-            name,
+            SoakPlace(name, SoakPlace.dataCentreOf(index)),
             folder,
             store.openFor(name).address,
             advice.openFor(name).address,
             log,
             hasSuspendableClock = options.isSuspending && index % PLAIN_CLOCK_EVERY != PLAIN_CLOCK_EVERY - 1,
-        )
+        ).also(peers::register)
     }
     private var configVersion = 1L
     val workers = CopyOnWriteArrayList<SoakWorker>()
-    val clients = SoakClients(processes, seed, options.hasSiteJobs)
+    val clients = SoakClients(processes, options)
 
     init {
         store.put("op", "config", soakConfig(configVersion))
@@ -56,16 +58,18 @@
     fun newWorkerId(): String = synchronized(random) { "i-%08x".format(random.nextInt()) }
 
     fun addWorker() {
-        val rack = "r1-${1 + workers.size / WORKERS_PER_RACK}"
-        val worker = synchronized(random) { SoakWorker(fleet, rack, WORKER_MILLICORES, random.nextLong()) }
+        val index = workers.size
+        val rack = "r1-${1 + index / WORKERS_PER_RACK}"
+        val place = SoakPlace("worker-${index + 1}", SoakPlace.dataCentreOf(index), rack)
+        val worker = synchronized(random) { SoakWorker(fleet, place, WORKER_MILLICORES, random.nextLong()) }
         worker.start(newWorkerId())
         workers += worker
     }
 
     /** Adds a worker at the port of one that is gone, or that accepts no connections any more. */
     fun addWorkerAt(port: Int) {
-        val rack = workers.random().rack
-        val worker = synchronized(random) { SoakWorker(fleet, rack, WORKER_MILLICORES, random.nextLong(), port) }
+        val place = workers.random().place.copy(machine = "worker-${workers.size + 1}")
+        val worker = synchronized(random) { SoakWorker(fleet, place, WORKER_MILLICORES, random.nextLong(), port) }
         worker.start(newWorkerId())
         workers += worker
     }
@@ -87,10 +91,7 @@
         log.add("all processes are ready")
     }
 
-    fun leader(): SoakProcess? {
-        val text = store.keysOf("leader", "lead").mapNotNull { store.textOf("leader", "lead", it) }
-        return processes.firstOrNull { process -> text.any { it.contains(process.name) } }
-    }
+    fun leader(): SoakProcess? = processes.firstOrNull { it.name == store.terms.newestLeader }
 
     fun awaitUntil(timeoutMs: Long, condition: () -> Boolean): Boolean {
         val untilMs = log.nowMs + timeoutMs
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFaultInjector.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFaultInjector.kt
@@ -18,6 +18,7 @@
     private val stores = SoakStoreSeries(deployment, ::after, ::pick, processes)
     private val ports = SoakPortFaults(deployment, ::after, ::pick, processes)
     private val operations = SoakOperations(deployment, ::after, ::pick, processes)
+    private val cuts = SoakCutFaults(deployment, ::after, ::pick, processes)
     private val links = SoakLinkFaults(deployment, ::after, ::pick) {
         deployment.leader()?.let { processes.killAndRestart(it, 0) }
     }
@@ -36,13 +37,15 @@
 
     private fun inject(fault: SoakFault) {
         log.add("fault ${fault.kind} for ${fault.durationMs} ms")
+        if (fault.kind < SoakFaultKind.DATA_CENTRE_CUT) cuts.recordFault()
         when {
             fault.kind < SoakFaultKind.STORE_DOWN -> injectAtMachine(fault)
             fault.kind < SoakFaultKind.SUSPENDED_ENTRIES_EXPIRE -> injectAtStore(fault)
             fault.kind < SoakFaultKind.STORE_ANSWERS_LATE_KILLS -> processes.injectSeries(fault.kind)
             fault.kind < SoakFaultKind.WORKERS_SWAP_ADDRESSES -> stores.injectSeries(fault)
             fault.kind < SoakFaultKind.ROLLING_STOP -> ports.inject(fault.kind)
-            else -> operations.inject(fault.kind)
+            fault.kind < SoakFaultKind.DATA_CENTRE_CUT -> operations.inject(fault.kind)
+            else -> cuts.inject(fault)
         }
     }
 
@@ -176,6 +179,7 @@
         store.latencyMs = 4
         store.lostShare = 0.0
         links.end()
+        cuts.end()
         deployment.processes.forEach { it.signal("CONT") }
         deployment.processes.forEach { it.start() }
         deployment.workers.forEach { worker ->
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFaultKind.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFaultKind.kt
@@ -109,4 +109,22 @@
 
     /** All of these at once, and the leader is killed. */
     ROLLING_STOP_CHANGES_KILL(6_000),
+
+    /** The leader's data centre, its processes and workers, is cut off from the store and all others, silently. */
+    DATA_CENTRE_CUT(15_000),
+
+    /** So is a data centre without the leader. */
+    DATA_CENTRE_CUT_OTHER(15_000),
+
+    /** So is a random group of processes and workers that has the leader in it. */
+    GROUPS_CUT(15_000),
+
+    /** The leader's data centre is cut off, and its successor is killed. */
+    DATA_CENTRE_CUT_LEADER_KILL(15_000),
+
+    /** The leader's data centre is cut off, and the leader's machine is suspended meanwhile. */
+    DATA_CENTRE_CUT_SUSPENSION(15_000),
+
+    /** The store is down for all, for longer than the longest lease; a minority of the processes is killed. */
+    STORE_DOWN_LONG(20_000),
 }
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFleet.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakFleet.kt
@@ -3,7 +3,13 @@
 
 import java.util.concurrent.ConcurrentHashMap
 
-internal class SoakFleet(val store: SoakStore, val checker: SoakChecker, val advice: SoakAdvice, val log: SoakLog) {
+internal class SoakFleet(
+    val store: SoakStore,
+    val checker: SoakChecker,
+    val advice: SoakAdvice,
+    val cuts: SoakCuts,
+    val log: SoakLog,
+) {
     private val gangs = ConcurrentHashMap<String, SoakGang>()
 
     /** The gang of which run [number] of a task is a member, or null; it takes [workMs] once all members are there. */
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakJobSource.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakJobSource.kt
@@ -5,13 +5,19 @@
 
 private val FAILING_QUEUES = listOf(SoakQueue.SHORT, SoakQueue.WIDE, SoakQueue.FRAGILE)
 
-internal class SoakJobSource(private val random: Random) {
+/** Jobs with tasks that outlive a cut, of a thousand. */
+private const val LONG_JOBS = 60
+
+/** With [hasLongTasks], some tasks outlive a cut and the leases in it. */
+internal class SoakJobSource(private val random: Random, private val hasLongTasks: Boolean) {
     fun next(): SoakJob {
         val id = "%016x".format(random.nextLong())
         val isCancelled = random.nextInt(40) == 0
         val kind = random.nextInt(1_000)
         val fail = random.nextLong(100, 700)
         return when {
+            hasLongTasks && kind >= 1_000 - LONG_JOBS ->
+                SoakJob(id, SoakQueue.SHORT, payload(2, 1_000, random.nextLong(14_000, 28_000)), isCancelled)
             kind < 15 -> SoakJob(id, FAILING_QUEUES.random(random), payload(2, 1_000, 800, fail), isCancelled)
             kind < 60 -> SoakJob(id, SoakQueue.WIDE, payload(10, 2_000, 3_400), isCancelled)
             kind < 90 -> SoakJob(id, SoakQueue.WIDE, payload(12, 2_000, 6_200), isCancelled)
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakOptions.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakOptions.kt
@@ -9,6 +9,7 @@
     SoakFaultKind.DRAIN_CUT_FROM_STORE,
     SoakFaultKind.WORKER_RESTART,
     SoakFaultKind.LEADER_KILL,
+    SoakFaultKind.DATA_CENTRE_CUT,
 )
 
 internal data class SoakOptions(
@@ -22,7 +23,11 @@
     val hasSiteJobs: Boolean,
 ) {
     /** True if machines are suspended; a process that only lacks processor time must not count as suspended. */
-    val isSuspending: Boolean get() = kinds.any { it in SUSPENSIONS }
+    val isSuspending: Boolean
+        get() = kinds.any { it in SUSPENSIONS || it == SoakFaultKind.DATA_CENTRE_CUT_SUSPENSION }
+
+    /** True if groups of machines are cut off or the store is down for long; some tasks outlive that. */
+    val isCutting: Boolean get() = kinds.any { it >= SoakFaultKind.DATA_CENTRE_CUT }
 
     companion object {
         private val SUSPENSIONS = SoakFaultKind.SUSPENDED_ENTRIES_EXPIRE..SoakFaultKind.SUSPENDED_IN_TURN
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakProcess.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakProcess.kt
@@ -15,7 +15,7 @@
     listOf("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData")
 
 internal class SoakProcess(
-    val name: String,
+    val place: SoakPlace,
     private val folder: Path,
     private val storeAddress: String,
     private val adviceAddress: String,
@@ -23,9 +23,10 @@
     /** The steady clock of the process stands still while it is suspended. */
     private val hasSuspendableClock: Boolean,
 ) {
+    val name: String = place.machine
     val callersPort = SoakPorts.next()
     val readinessPort = SoakPorts.next()
-    private val peersPort = SoakPorts.next()
+    val peersPort = SoakPorts.next()
     private val metricsPort = SoakPorts.next()
     private val logFile = folder.resolve("$name.log")
     private var process: Process? = null
@@ -77,7 +78,7 @@
 
     private fun settings(): String = buildJsonObject {
         put("processName", name)
-        put("dataCentre", "zone-a")
+        put("dataCentre", place.dataCentre)
         put("callersAddress", "127.0.0.1:$callersPort")
         put("readinessAddress", "127.0.0.1:$readinessPort")
         put("peersAddress", "127.0.0.1:$peersPort")
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakStore.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakStore.kt
@@ -27,8 +27,14 @@
 /** Time from a transaction until its answer, which names the newest version at its end. */
 private const val ANSWER_MS = 2L
 
-internal class SoakStore(private val log: SoakLog, seed: Long) {
+internal class SoakStore(
+    private val log: SoakLog,
+    seed: Long,
+    private val cuts: SoakCuts,
+    private val peers: SoakPeerLinks,
+) {
     val faults = SoakStoreFaults()
+    val terms = SoakTerms()
     private val random = Random(seed)
     private val parts = HashMap<Pair<String, String>, TreeMap<String, SoakRow>>()
     private val history = HashMap<String, ArrayList<SoakRow>>()
@@ -49,7 +55,7 @@
         val delayMs = synchronized(random) { random.nextLong(300, 5_000) }
         thread(isDaemon = true) {
             Thread.sleep(delayMs)
-            transact(Json.parseToJsonElement(request.body.decodeToString()).jsonObject)
+            transact("", Json.parseToJsonElement(request.body.decodeToString()).jsonObject)
         }
     }
 
@@ -63,45 +69,41 @@
         monitor.notifyAll()
     }
 
-    fun textOf(table: String, part: String, key: String): String? = synchronized(monitor) {
-        parts[table to part]?.get(key)?.value?.let { String(Base64.getDecoder().decode(it), Charsets.ISO_8859_1) }
-    }
-
-    fun keysOf(table: String, part: String): Set<String> =
-        synchronized(monitor) { parts[table to part]?.keys?.toSet().orEmpty() }
-
     private fun encode(text: String) = Base64.getEncoder().encodeToString(text.encodeToByteArray())
 
     private fun save(row: SoakRow) {
         val rows = parts.getOrPut(row.id.table to row.id.part) { TreeMap() }
         if (row.value == null) rows.remove(row.id.key) else rows[row.id.key] = row
         history.getOrPut(row.id.table) { ArrayList() } += row
+        terms.record(row)
     }
 
     private fun serve(caller: String, request: SoakRequest): SoakReply? {
-        if (faults.isSilent(caller)) return null
+        if (isSilent(caller)) return null
         Thread.sleep(faults.latencyMs)
         if (faults.isRefused(caller)) return SoakReply(UNAVAILABLE)
         val reply = when (request.path) {
             "/rows-tx" -> transactWithFaults(caller, request)
-            "/rows-get" -> read(request.query)
+            "/rows-get" -> read(caller, request.query)
             "/rows-feed" -> feed(caller, request.query)
             else -> SoakReply(404)
         }
-        return reply.takeUnless { faults.isSilent(caller) }
+        return reply.takeUnless { isSilent(caller) }
     }
 
+    private fun isSilent(caller: String) = faults.isSilent(caller) || cuts.isCutOff(caller)
+
     private fun transactWithFaults(caller: String, request: SoakRequest): SoakReply? {
         val call = Json.parseToJsonElement(request.body.decodeToString()).jsonObject
         if (synchronized(random) { random.nextDouble() } >= faults.lostShare) {
-            val current = transact(call)
+            val current = transact(caller, call)
             Thread.sleep(if (faults.isAnsweredLate(caller)) lateAnswerMs() else ANSWER_MS)
             return if (current == null) SoakReply(APPLIED, newestVersion()) else SoakReply(CONFLICT, current)
         }
         val delayMs = synchronized(random) { if (random.nextBoolean()) 0L else random.nextLong(300, 5_000) }
         thread(isDaemon = true) {
             Thread.sleep(delayMs)
-            transact(call)
+            transact(caller, call)
         }
         return null
     }
@@ -117,13 +119,13 @@
     private fun lateAnswerMs() = synchronized(random) { random.nextLong(700, 2_000) }
 
     /** Applies [call]; if a condition does not hold, it returns the body with the current rows. */
-    private fun transact(call: JsonObject): String? = synchronized(monitor) {
+    private fun transact(caller: String, call: JsonObject): String? = synchronized(monitor) {
         val conditions = call.list("precondition")
         val current = conditions.mapNotNull { rowAt(it.id()) }
         val holds = conditions.all {
             (rowAt(it.id())?.version ?: 0) == it.jsonObject.getValue("ver").jsonPrimitive.long
         }
-        if (!holds) return answer(current)
+        if (!holds) return answer(caller, current)
         version++
         call.list("set_keys").forEach { save(SoakRow(it.id(), it.jsonObject.text("value"), version)) }
         call.list("remove").filter { rowAt(it.id()) != null }.forEach { save(SoakRow(it.id(), null, version)) }
@@ -139,17 +141,17 @@
         put("now_ms", log.nowMs)
     }
 
-    private fun answer(rows: List<SoakRow>, hasMore: Boolean = false): String = buildJsonObject {
-        put("rows", JsonArray(rows.map { it.toJson() }))
+    private fun answer(caller: String, rows: List<SoakRow>, hasMore: Boolean = false): String = buildJsonObject {
+        put("rows", JsonArray(rows.map { peers.shownTo(caller, it).toJson() }))
         put("has_more", hasMore)
         putVersion()
     }.toString()
 
-    private fun read(query: Map<String, String>): SoakReply = synchronized(monitor) {
+    private fun read(caller: String, query: Map<String, String>): SoakReply = synchronized(monitor) {
         val all = parts[query.getValue("table") to query["part"].orEmpty()] ?: TreeMap()
         val to = query["to"]
         val found = all.tailMap(query["from"].orEmpty(), true).values.filter { to == null || it.id.key < to }
-        SoakReply(200, answer(found.take(MAX_PAGE_ROWS), found.size > MAX_PAGE_ROWS))
+        SoakReply(200, answer(caller, found.take(MAX_PAGE_ROWS), found.size > MAX_PAGE_ROWS))
     }
 
     private fun feed(caller: String, query: Map<String, String>): SoakReply =
@@ -165,7 +167,7 @@
             var first = all.size
             while (first > 0 && all[first - 1].version > after) first--
             val leftMs = untilMs - log.nowMs
-            if (first < all.size || leftMs <= 0) return SoakReply(200, answer(all.subList(first, all.size)))
+            if (first < all.size || leftMs <= 0) return SoakReply(200, answer(caller, all.subList(first, all.size)))
             monitor.wait(leftMs)
         }
     }
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakWorker.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakWorker.kt
@@ -21,7 +21,7 @@
 
 internal class SoakWorker(
     private val fleet: SoakFleet,
-    val rack: String,
+    val place: SoakPlace,
     val millicores: Long,
     seed: Long,
     port: Int = SoakPorts.next(),
@@ -30,7 +30,7 @@
     private val random = Random(seed)
 
     /** The worker's kind, which is one of two, and its rack. */
-    private val labels = setOf(if (random.nextBoolean()) "a" else "b", rack)
+    private val labels = setOf(if (random.nextBoolean()) "a" else "b", place.rack)
 
     @Volatile
     private var server = SoakHttpServer(port) { serve(it) }
@@ -171,7 +171,9 @@
         if (log.nowMs >= reportsAtMs) {
             reportsAtMs = log.nowMs + STATUS_PERIOD_MS
             // Workers reach the store no better than other callers.
-            val isReached = log.nowMs >= faults.cutFromStoreUntilMs && !fleet.store.faults.isDown
+            val isReached = log.nowMs >= faults.cutFromStoreUntilMs &&
+                !fleet.store.faults.isDown &&
+                !fleet.cuts.isCutOff(place.machine)
             if (isReached) return report(own)
         }
         if (!isListed || log.nowMs - reportedAtMs <= EXPIRES_AFTER_MS) return
@@ -186,7 +188,7 @@
         val entry = buildJsonObject {
             put("service", SOAK_SERVICE)
             put("address", server.address)
-            put("zone", "zone-a")
+            put("zone", place.dataCentre)
             put("version", "v1")
             put("slots", 8)
             put("state", if (isDraining) "draining" else "ready")
@@ -227,10 +229,15 @@
     private fun isFor(own: SoakIncarnation, request: SoakRequest) =
         request.headers["bronzeshore-target-instance"].let { it == null || it == own.id }
 
-    private fun isSilentTo(term: Long) = log.nowMs < faults.silentUntilMs && term in faults.silentTerms
+    private fun isSilentTo(term: Long) =
+        log.nowMs < faults.silentUntilMs && term in faults.silentTerms || cutForMs(term) > 0
+
+    /** Time for which no data passes between the worker and the leader of [term]. */
+    private fun cutForMs(term: Long): Long =
+        fleet.store.terms.leaderOf(term)?.let { fleet.cuts.apartForMs(place.machine, it) } ?: 0
 
     private fun startWithoutAnswer(own: SoakIncarnation, call: JsonObject) {
-        val cutForMs = maxOf(0, faults.silentUntilMs - log.nowMs)
+        val cutForMs = maxOf(0, faults.silentUntilMs - log.nowMs, cutForMs(call.number("fence_token")))
         val isLate = cutForMs > 0 || random.nextDouble() < faults.lateStartShare
         if (isLate) Thread.sleep(cutForMs + random.nextLong(300, 4_000))
         if (incarnation === own) own.execute("/run-start", call, isLate)
