Shorten the runs of the test with 7,000 failed tasks

Cause: its tasks ran for 60 s of virtual time, which cost 37 s of the run beside other work (load 45). Change: 20 s, with the same checks; the case beyond the limit keeps 60 s, because its tasks do not all start in 10 s. Evidence: the case at the limit passes in 15 s (load about 25). The case beyond was not run again; its durations are as before.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/LargeProgressTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LargeProgressTest.kt
@@ -12,7 +12,6 @@
 
 private const val WIDE_JOB = "00000000000000aa"
 private const val OTHER_JOB = "00000000000000bb"
-private const val RUN_MS = 60_000L
 private const val OTHER_RUN_MS = 100L
 private const val RESULTS_WITHIN_MS = 5_000L
 
@@ -25,28 +24,28 @@
 class LargeProgressTest {
     /** Guards against a wide job whose tasks have all failed once, and after which no job's end is stored any more. */
     @Test
-    fun `other jobs end beside a job with many failed tasks`() = otherJobEndsBeside(TASKS_AT_LIMIT)
+    fun `other jobs end beside a job with many failed tasks`() = otherJobEndsBeside(TASKS_AT_LIMIT, runMs = 20_000)
 
     /** Guards against the same where the progress of the wide job does not fit into a row. */
     @Tag("known-red")
     @Test
     fun `other jobs end beside a job whose failed tasks do not fit into a row`() =
-        otherJobEndsBeside(TASKS_BEYOND_LIMIT)
+        otherJobEndsBeside(TASKS_BEYOND_LIMIT, runMs = 60_000)
 
-    private fun otherJobEndsBeside(tasks: Int) = runTest(timeout = 3.minutes) {
+    private fun otherJobEndsBeside(tasks: Int, runMs: Long) = runTest(timeout = 3.minutes) {
         val simulation = SchedulerSimulation(this, seed = 91, workerCount = 4)
         simulation.store.faults.maxValueBytes = MAX_ROW_BYTES
         simulation.lead()
         simulation.awaitRoster()
-        val tiny = step(tasks, cores = 0, durationMs = RUN_MS).let { it.copy(size = it.size.copy(memoryBytes = 1)) }
+        val tiny = step(tasks, cores = 0, durationMs = runMs).let { it.copy(size = it.size.copy(memoryBytes = 1)) }
         simulation.submit(WIDE_JOB, tiny)
-        awaitUntil(RUN_MS - 10_000) { simulation.workers.checker.starts == tasks }
+        awaitUntil(runMs - 10_000) { simulation.workers.checker.starts == tasks }
         simulation.workers.faults.failing += simulation.workers.ids
         awaitUntil { simulation.workers.checker.runningCount == 0 }
         simulation.workers.faults.failing.clear()
         simulation.submit(OTHER_JOB, step(replicas = 1, cores = 1, durationMs = OTHER_RUN_MS))
         assertTrue(simulation.awaitPhase(OTHER_JOB, JobPhase.COMPLETED, RESULTS_WITHIN_MS), "end of the other job")
-        assertTrue(simulation.awaitPhase(WIDE_JOB, JobPhase.COMPLETED, 2 * RUN_MS), "end of the wide job")
+        assertTrue(simulation.awaitPhase(WIDE_JOB, JobPhase.COMPLETED, 2 * runMs), "end of the wide job")
         assertEquals(emptyList<String>(), simulation.workers.checker.violations)
         assertEquals(2 * tasks + 1, simulation.workers.checker.starts)
     }
