--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -249,11 +249,7 @@
         val now = context.clock()
         context.workerPool.workers.toList().forEach { removeIfDeparted(it) }
         for (worker in context.workerPool.workers.toList().filter { !it.isReachable || !it.isContacted }) {
-            val isOver = if (worker.isContacted) {
-                isLeaseOver(worker, now)
-            } else {
-                areFormerLeasesOver(now)
-            }
+            val isOver = if (worker.isContacted) isLeaseOver(worker, now) else areFormerLeasesOver(now)
             if (!isOver) continue
             if (worker.recordIdleUntilAnswer()) {
                 context.log.event("former_leases_over", "worker" to worker.id, "listed" to worker.isListed)
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakPeerLink.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakPeerLink.kt
@@ -6,12 +6,13 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.locks.LockSupport
 import kotlin.concurrent.thread
 
 private const val BUFFER_BYTES = 16_384
 private const val THREAD_STACK_BYTES = 262_144L
 private const val CONNECT_TIMEOUT_MS = 1_000
-private const val RECHECK_MS = 50L
+private const val RECHECK_NANOS = 50_000_000L
 
 internal class SoakPeerLink(private val targetPort: Int, private val isCut: () -> Boolean) {
     private val host = InetAddress.getByName("127.0.0.1")
@@ -72,7 +73,7 @@
         }
 
         private fun awaitEndOfCut() {
-            while (isCut()) Thread.sleep(RECHECK_MS)
+            while (isCut()) LockSupport.parkNanos(RECHECK_NANOS)
         }
     }
 }
