--- a/review/harness-2/Minion.java
+++ b/review/harness-2/Minion.java
@@ -3,12 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * One life of a minion that doesn't guard its capacity.
@@ -21,7 +18,6 @@
     private static final long RESTORE_MS = 100;
     private static final long CHECKPOINT_MS = 2_000;
     private static final long TICK_MS = 10;
-    private static final long GANG_WAIT_MS = 3_000;
     private static final int MAX_ENDS = 500;
     private static final int ID_LENGTH = 16;
 
@@ -32,11 +28,6 @@
 
         boolean isCheckpointable(String task);
 
-        /** Number of the members of the gang that the subtask is one of; 0 for other subtasks. */
-        default int gangSize(String task) {
-            return 0;
-        }
-
         default void started(Minion minion, String task, long run, String checkpoint) {}
 
         default void ended(Minion minion, String task, long run, String how) {}
@@ -60,39 +51,6 @@
         }
     }
 
-    /** One run of a gang, whose members may be on several minions. */
-    private static final class Gang {
-        private final Set<String> present = new HashSet<>();
-        private long completeAtNs;
-        private boolean isBroken;
-        private boolean isDone;
-
-        synchronized void join(String task, int size) {
-            present.add(task);
-            if (present.size() == size && completeAtNs == 0) completeAtNs = System.nanoTime();
-        }
-
-        /** Time for which all members have worked together; negative while some are missing. */
-        synchronized long togetherMs() {
-            return completeAtNs == 0 ? -1 : (System.nanoTime() - completeAtNs) / 1_000_000;
-        }
-
-        synchronized void leave(String how) {
-            if (how.equals("done")) isDone = true;
-            else if (!isDone) isBroken = true;
-        }
-
-        synchronized boolean isBroken() {
-            return isBroken;
-        }
-
-        synchronized boolean isDone() {
-            return isDone;
-        }
-    }
-
-    private static final Map<String, Gang> GANGS = new ConcurrentHashMap<>();
-
     private record End(long number, String task, long run, String how, String saved) {}
 
     final String id;
@@ -132,10 +90,6 @@
     void crash() {
         synchronized (this) {
             isDown = true;
-            for (Run run : running.values()) {
-                Gang gang = gangOf(run);
-                if (gang != null) gang.leave("lost");
-            }
             running.clear();
             notifyAll();
         }
@@ -146,10 +100,6 @@
         return running.size();
     }
 
-    synchronized boolean isRunning(String submission) {
-        return running.keySet().stream().anyMatch(task -> task.startsWith(submission));
-    }
-
     private long nowMs() {
         return (System.nanoTime() - startedAtNs) / 1_000_000;
     }
@@ -198,8 +148,6 @@
                 end(run, "lapsed");
                 continue;
             }
-            Gang gang = gangOf(run);
-            if (gang != null && endMember(run, gang, now)) continue;
             long worked = workedMs(run, now);
             if (judge.isCheckpointable(run.task)) {
                 long savedMs = worked / CHECKPOINT_MS * CHECKPOINT_MS;
@@ -209,38 +157,16 @@
         }
     }
 
-    private Gang gangOf(Run run) {
-        return judge.gangSize(run.task) == 0 ? null : gangOf(run.task, run.number);
-    }
-
-    private static Gang gangOf(String task, long run) {
-        String step = task.substring(0, task.lastIndexOf('.'));
-        return GANGS.computeIfAbsent(step + " run " + run, ignored -> new Gang());
-    }
-
-    /** Ends a member whose gang has ended, or that has waited too long for the others. */
-    private boolean endMember(Run run, Gang gang, long now) {
-        if (gang.isDone()) end(run, "done");
-        else if (gang.isBroken()) end(run, "broken");
-        else if (gang.togetherMs() < 0 && now - run.startedMs > GANG_WAIT_MS) end(run, "alone");
-        else return false;
-        return true;
-    }
-
-    private long workedMs(Run run, long now) {
-        Gang gang = gangOf(run);
-        long sinceMs = gang == null ? now - run.startedMs : gang.togetherMs();
-        return run.doneBeforeMs + Math.max(0, sinceMs);
+    private static long workedMs(Run run, long now) {
+        return run.doneBeforeMs + Math.max(0, now - run.startedMs);
     }
 
-    /** The milliseconds of work that are saved, and a part of the submission's id: the same for all members of a gang. */
+    /** The milliseconds of work that are saved, and a part of the submission's id. */
     private static String checkpointOf(String task, long savedMs) {
         return String.format("%08x", savedMs) + task.substring(ID_LENGTH / 4, ID_LENGTH * 3 / 4);
     }
 
     private void end(Run run, String how) {
-        Gang gang = gangOf(run);
-        if (gang != null) gang.leave(how);
         running.remove(run.task);
         highestEnded.merge(run.task, run.number, Math::max);
         ends.add(new End(++lastEnd, run.task, run.number, how, how.equals("done") ? "" : run.saved));
@@ -296,7 +222,6 @@
         long from = nowMs() + (checkpoint.isEmpty() ? 0 : RESTORE_MS);
         if (present != null) end(present, "stopped");
         running.put(task, new Run(task, number, from, doneMs, checkpoint));
-        if (judge.gangSize(task) > 0) gangOf(task, number).join(task, judge.gangSize(task));
         judge.started(this, task, number, checkpoint);
         return new Http.Answer(200, Json.write(Map.of("clock_ms", nowMs())));
     }
