Let workers vote on leases, so that lost processes delay no tasks

Cause: a successor takes the leases of a worker that it does not reach for over once a majority of the stored voting processes has promised to vote for no former leader. Lost processes promise nothing, and the wait then ended only with the longest outage that a leader may bridge.

Change: a leader without the store needs the votes of most processes and of most voting workers, whose answers to its polls are their votes. A successor needs the promises of most processes or of most of these workers: a worker that it has reached refuses former fencing tokens. Two majorities of the same set meet, so no former leader keeps its authority unnoticed.

At least three workers vote now, or none.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -19,6 +19,9 @@
     /** The processes whose majority decides on leases while the store does not confirm the leader's term. */
     public val VOTERS_ROW: RowId = RowId(LEADER, LEADER_PARTITION, "voters")
 
+    /** The workers that decide on leases beside these processes; always written along with them. */
+    public val VOTING_WORKERS_ROW: RowId = RowId(LEADER, LEADER_PARTITION, "voting-workers")
+
     /** The progress of each job that has started. */
     public const val PROGRESS: String = "progress"
 
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderRows.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaderRows.kt
@@ -15,6 +15,14 @@
 @Serializable
 internal data class VotersRow(val term: Long, val processNames: List<String>)
 
+/** The workers that vote on leases; they count if they were written together with the processes. */
+@Serializable
+internal data class VotingWorkersRow(val workers: List<WorkerVoter>)
+
+/** A worker incarnation that votes on leases. */
+@Serializable
+internal data class WorkerVoter(val workerId: String, val startedAtMs: Long)
+
 /** The leader as this process last observed it. */
 public data class KnownLeader(public val term: Long, public val processName: String, public val peerAddress: String)
 
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
@@ -2,13 +2,14 @@
  * Decides whether a leader may grant leases, and from when on its predecessors may not.
  *
  * A leader may grant leases while a call to the store has just shown that its term is held. In an outage of the store
- * it may go on while a majority of the voters says that it knows of no later term: they see the outage too, and no
- * process can take over. A leader that is cut off from the store and from most voters stops granting, and its leases
- * lapse.
+ * it may go on while a majority of the processes that vote says that it knows of no later term, and a majority of the
+ * workers that vote answers it: they see the outage too, and no process can take over. A leader that is cut off from
+ * the store and from most of either stops granting, and its leases lapse.
  *
- * A successor asks the voters to vote for former terms no more. Any two majorities have a voter in common. So when a
- * majority has promised that, former leaders have lost their authority, except for the time for which a vote holds.
- * Until then the successor takes no lease of a worker that it does not reach for over.
+ * A successor asks the processes to vote for former terms no more, and a worker that has answered it refuses former
+ * leaders. Any two majorities have a voter in common. So when a majority of the processes or of the workers has
+ * promised that, former leaders have lost their authority, except for the time for which a vote holds. Until then the
+ * successor takes no lease of a worker that it does not reach for over.
  */
 package dev.bronzeshore.leadership
 
@@ -22,6 +23,7 @@
 import dev.bronzeshore.core.cluster.StoreOutcome
 import dev.bronzeshore.core.cluster.StoreTransaction
 import dev.bronzeshore.core.cluster.Tables
+import dev.bronzeshore.core.cluster.WorkerIncarnation
 import dev.bronzeshore.core.cluster.decodeRow
 import dev.bronzeshore.core.cluster.encodeRow
 import kotlinx.coroutines.CoroutineScope
@@ -32,6 +34,9 @@
 /** Time for which a vote, or a call to the store that showed the term, allows the leader to grant leases. */
 public const val AUTHORITY_MS: Long = 2_000L
 
+/** Time for which the answer of a worker holds as its vote; polls of idle workers take up to 1.5 s. */
+private const val WORKER_VOTE_MS = 4_000L
+
 /** An outage of the store that lasts longer ends the leader's leases, so that a successor need not wait for ever. */
 private const val OUTAGE_LIMIT_MS = 35 * 60_000L
 
@@ -72,9 +77,9 @@
     public val elapsedClock: ClockMs,
 )
 
-/** What is stored of the voters: their names, null if none are stored or can be read, and the version of their row. */
-private class StoredVoters(val names: Set<String>?, val version: Long) {
-    val isMalformed: Boolean get() = names == null && version > 0
+/** What is stored of the voters, null if none are stored or can be read, and the version of their row. */
+private class StoredVoters(val electorate: Electorate?, val version: Long) {
+    val isMalformed: Boolean get() = electorate == null && version > 0
 }
 
 /** The authority of one term; confined to the control thread. */
@@ -84,8 +89,12 @@
     private val startedAtMs = context.clock()
     private var votedAtMs: Long? = null
     private val answeredAtMs = HashMap<String, Long>()
+    private val workerVotes = WorkerVotes()
+
+    /** Monotonic time at which a majority of the former workers was known to answer no former leader; null before. */
+    private var workersPromisedAtMs: Long? = null
 
-    /** Monotonic time at which a majority had promised to vote for no former term; null before. */
+    /** Monotonic time from which former leaders had no majority any more, but for what a vote holds; null before. */
     public var formerRevokedAtMs: Long? = null
         private set
 
@@ -95,10 +104,20 @@
             if (context.voter.hasRevoked(term.term)) return false
             val confirmedAtMs = context.heldTerms.shownAtMs(term.termRowVersion) ?: return false
             val now = context.elapsedClock()
+            if (now - confirmedAtMs < AUTHORITY_MS) return true
             val isVoted = votedAtMs?.let { now - it < AUTHORITY_MS } ?: false
-            return now - confirmedAtMs < AUTHORITY_MS || (isVoted && now - confirmedAtMs < OUTAGE_LIMIT_MS)
+            return isVoted &&
+                now - confirmedAtMs < OUTAGE_LIMIT_MS &&
+                voters.isMajorityOfWorkers(workerVotes.since(now - WORKER_VOTE_MS))
         }
 
+    /**
+     * Records that [worker] has answered a request of this term which was sent at [sentAtMs] of the clock that includes
+     * suspensions.
+     */
+    public fun recordWorkerAnswer(worker: WorkerIncarnation, sentAtMs: Long): Unit =
+        workerVotes.record(worker, sentAtMs)
+
     /** Revokes former terms and keeps the authority of this one until cancelled. */
     public suspend fun run(): Unit = coroutineScope {
         launch { watchAuthority() }
@@ -140,28 +159,46 @@
     }
 
     private suspend fun revokeFormerTerms() = coroutineScope {
-        val stored = firstRead().also { voters.observe(it.names, it.version) }
-        val former = stored.names.orEmpty()
-        former.forEach { answeredAtMs.putIfAbsent(it, startedAtMs) }
+        val stored = firstRead().also { voters.observe(it.electorate, it.version) }
+        val former = stored.electorate ?: Electorate(emptySet())
+        former.processes.forEach { answeredAtMs.putIfAbsent(it, startedAtMs) }
         context.voter.revokeBelow(term.term)
-        val promised = former.filterTo(HashSet()) { it == context.processName }
+        val promised = former.processes.filterTo(HashSet()) { it == context.processName }
         var isLate = false
-        val isWaiting = { stored.isMalformed || (former.isNotEmpty() && !isMajorityOf(former, promised)) }
-        while (isWaiting() && !isOutageOver) {
-            askToRevoke(former - promised) { promised += it }
+        while (!isRevoked(stored, promised) && !isOutageOver) {
+            askToRevoke(former.processes - promised) { promised += it }
             if (!isLate && context.clock() - startedAtMs > LATE_REVOCATION_MS) {
                 isLate = true
                 log.event(
                     "revocation_waits",
                     "term" to term.term,
                     "promised" to promised,
-                    "missing" to former - promised,
+                    "missing" to former.processes - promised,
+                    "workers_promised" to workerVotes.promisesOf(former.workers).size,
+                    "workers" to former.workers.size,
                 )
             }
             delay(REVOKE_RETRY_MS)
         }
         formerRevokedAtMs = context.clock()
-        log.event("former_terms_revoked", "term" to term.term, "promised" to promised.size, "of" to former.size)
+        log.event(
+            "former_terms_revoked",
+            "term" to term.term,
+            "promised" to promised.size,
+            "of" to former.processes.size,
+            "workers_promised" to workerVotes.promisesOf(former.workers).size,
+            "workers" to former.workers.size,
+        )
+    }
+
+    private fun isRevoked(stored: StoredVoters, promised: Set<String>): Boolean {
+        if (stored.isMalformed) return false
+        val former = stored.electorate ?: return true
+        if (former.processes.isEmpty() || isMajorityOf(former.processes, promised)) return true
+        if (!isMajorityOf(former.workers, workerVotes.promisesOf(former.workers))) return false
+        val promisedAtMs = workersPromisedAtMs ?: context.clock().also { workersPromisedAtMs = it }
+        // The votes of workers hold for longer than those of processes.
+        return context.clock() - promisedAtMs >= WORKER_VOTE_MS - AUTHORITY_MS
     }
 
     private fun CoroutineScope.askToRevoke(names: Set<String>, onPromise: (String) -> Unit) {
@@ -190,19 +227,23 @@
             if (isUnconfirmed) continue
             val wanted = wantedVoters()
             // The directory of the processes may not have been read yet.
-            if (wanted.size == 1 && context.clock() - startedAtMs < VOTER_LOST_AFTER_MS) continue
+            if (wanted.processes.size == 1 && context.clock() - startedAtMs < VOTER_LOST_AFTER_MS) continue
             if (wanted != voters.stored) storeVoters(wanted)
         }
     }
 
-    private fun wantedVoters(): Set<String> {
+    private fun wantedVoters(): Electorate {
         val now = context.clock()
-        return selectVoters(context.processName, voters.stored, answeredAtMs.mapValues { now - it.value })
+        val stored = voters.stored
+        return Electorate(
+            selectVoters(context.processName, stored?.processes, answeredAtMs.mapValues { now - it.value }),
+            selectWorkerVoters(stored?.workers.orEmpty(), workerVotes.silenceMs(context.elapsedClock())),
+        )
     }
 
-    private suspend fun storeVoters(wanted: Set<String>) {
+    private suspend fun storeVoters(wanted: Electorate) {
         val read = readVoters() ?: return
-        voters.observe(read.names, read.version)
+        voters.observe(read.electorate, read.version)
         voters.propose(wanted, read.version)
         val outcome = context.store.transact(
             StoreTransaction(
@@ -210,7 +251,7 @@
                     RowCondition(Tables.TERM_ROW, term.termRowVersion),
                     RowCondition(Tables.VOTERS_ROW, read.version),
                 ),
-                listOf(RowWrite(Tables.VOTERS_ROW, encodeRow(VotersRow.serializer(), rowOf(wanted)))),
+                writesOf(wanted),
             ),
         )
         when (outcome) {
@@ -220,7 +261,13 @@
 
             is StoreOutcome.Conflict, is StoreOutcome.NotApplied -> voters.withdraw(wanted)
         }
-        log.event("voters", "term" to term.term, "outcome" to outcome::class.simpleName, "names" to wanted.sorted())
+        log.event(
+            "voters",
+            "term" to term.term,
+            "outcome" to outcome::class.simpleName,
+            "names" to wanted.processes.sorted(),
+            "workers" to wanted.workers.size,
+        )
     }
 
     private suspend fun firstRead(): StoredVoters {
@@ -235,12 +282,30 @@
         val page = context.store.readPage(RowRangeQuery(Tables.LEADER, Tables.LEADER_PARTITION)).getOrNull()
         val rows = page?.rows.orEmpty()
         if (rows.none { it.id == Tables.TERM_ROW && it.version == term.termRowVersion }) return null
-        val row = rows.firstOrNull { it.id == Tables.VOTERS_ROW } ?: return StoredVoters(names = null, version = 0)
-        return StoredVoters(row.value?.let { namesOf(it) }, row.version)
+        val row = rows.firstOrNull { it.id == Tables.VOTERS_ROW } ?: return StoredVoters(electorate = null, version = 0)
+        // A transaction gives its rows one version; earlier releases write the processes alone.
+        val workers = rows.firstOrNull { it.id == Tables.VOTING_WORKERS_ROW && it.version == row.version }
+        return StoredVoters(row.value?.let { electorateOf(it, workers?.value) }, row.version)
+    }
+
+    private fun writesOf(voters: Electorate): List<RowWrite> {
+        val processes = VotersRow(term.term, voters.processes.sorted())
+        val workers = VotingWorkersRow(voters.workers.map { WorkerVoter(it.workerId, it.startedAtMs) })
+        return listOf(
+            RowWrite(Tables.VOTERS_ROW, encodeRow(VotersRow.serializer(), processes)),
+            RowWrite(Tables.VOTING_WORKERS_ROW, encodeRow(VotingWorkersRow.serializer(), workers)),
+        )
     }
 
-    private fun rowOf(names: Set<String>) = VotersRow(term.term, names.sorted())
+    /** Null if a row cannot be decoded. */
+    private fun electorateOf(processes: ByteArray, workers: ByteArray?): Electorate? {
+        val names = decodeRow(VotersRow.serializer(), processes).onLeft(::logMalformed).getOrNull()?.processNames
+        if (names == null || workers == null) return names?.let { Electorate(it.toSet()) }
+        val voting = decodeRow(VotingWorkersRow.serializer(), workers).onLeft(::logMalformed).getOrNull()?.workers
+        return voting?.let { list ->
+            Electorate(names.toSet(), list.mapTo(HashSet()) { WorkerIncarnation(it.workerId, it.startedAtMs) })
+        }
+    }
 
-    private fun namesOf(value: ByteArray): Set<String>? = decodeRow(VotersRow.serializer(), value)
-        .onLeft { log.event("voters_malformed", "cause" to it) }.getOrNull()?.processNames?.toSet()
+    private fun logMalformed(cause: String) = log.event("voters_malformed", "cause" to cause)
 }
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
@@ -4,8 +4,9 @@
  * There is no state of the network: each call between two parties may go through or not, at each moment, so that each
  * cut and outage is among the histories. What a later answer could do, the same answer at once could do too; but a
  * write of the voters may apply later, a vote is counted against the voters of a later moment, and a leader is held up
- * between its decision to grant a lease and the request. One worker is enough: workers do not influence each other, and
- * a task runs twice only if a lease lives on at its former worker.
+ * between its decision to grant a lease and the request. One worker with a lease is enough: workers do not influence each
+ * other, and a task runs twice only if a lease lives on at its former worker. Another worker votes; what matters of
+ * several is that two majorities have one in common.
  */
 package dev.bronzeshore.leadership
 
@@ -24,12 +25,17 @@
         else -> scope.authority + scope.lease
     }
 
+    /** Time for which the vote of a worker holds longer than those of processes. */
+    private val workerWait = if (removed == Rule.WAIT_COVERS_WORKER_VOTES) 0 else scope.workerVote - scope.authority
+
     fun firstStates(): List<LeaseState> = scope.firstVoters.map { stored ->
         LeaseState(scope.processes).apply {
             this[Shared.STORE_TERM] = 1
             this[Shared.STORE_VOTERS] = stored
             this[Shared.STORE_VERSION] = 1
             this[Shared.RESTARTS_LEFT] = scope.restarts
+            this[Shared.WORKER_RESTARTS_LEFT] = scope.workerRestarts
+            this[Shared.VOTING_WORKER_FENCE] = 1
             this[Shared.CHANGES_LEFT] = scope.changes
             this[Shared.SUSPENSIONS_LEFT] = scope.suspensions
             for (process in processes) this[process, Own.OBSERVED] = 1
@@ -73,10 +79,19 @@
                 expandLeader(state, process, step)
             }
         }
+        restartWorker(state)?.let { step.to(it, "the voting worker restarts", -1, -1) }
         voters.applyLate(state, step)
         requests.arrive(state, step)
     }
 
+    private fun restartWorker(state: LeaseState): LeaseState? {
+        if (state[Shared.WORKER_RESTARTS_LEFT] == 0) return null
+        return state.copy().apply {
+            this[Shared.WORKER_RESTARTS_LEFT] -= 1
+            this[Shared.VOTING_WORKER_FENCE] = if (removed == Rule.WORKER_VOTES_BY_INCARNATION) 0 else ENDED
+        }
+    }
+
     private fun expandEnvironment(state: LeaseState, process: Int, step: Step) {
         if (state[Shared.RESTARTS_LEFT] > 0) {
             val next = state.copy()
@@ -99,6 +114,7 @@
         readFormer(state, process)?.let { step.to(it, "reads the former voters", process, -1) }
         askForVotes(state, process)?.let { step.to(it, "asks for votes", process, -1) }
         count(state, process)?.let { step.to(it, "counts its votes again", process, -1) }
+        pollWorker(state, process)?.let { step.to(it, "is answered by the voting worker", process, -1) }
         for (other in processes) {
             if (other == process || state[Shared.SUSPENDED] == other + 1) continue
             vote(state, process, other)?.let { step.to(it, "has the vote of", process, other) }
@@ -120,11 +136,38 @@
         val isSuspended = this[Shared.SUSPENDED] == process + 1
         if (!isSuspended || removed != Rule.CLOCK_INCLUDES_SUSPENSIONS) {
             for (age in AGES) this[process, age] = minOf(this[process, age] + 1, scope.authority)
+            this[process, Own.WORKER_AGE] = minOf(this[process, Own.WORKER_AGE] + 1, scope.workerVote)
             dropVainRound(process)
         }
         if (!isSuspended && this[process, Own.REVOCATION] == 2) {
             this[process, Own.REVOKED_AGE] = minOf(this[process, Own.REVOKED_AGE] + 1, waitTime)
         }
+        if (!isSuspended && this[process, Own.REVOCATION] == 1 && hasPromiseOfWorker(process)) {
+            this[process, Own.REVOKED_AGE] += 1
+            completeRevocation(process)
+        }
+    }
+
+    private fun LeaseState.hasPromiseOfWorker(process: Int) =
+        voters.hasWorker(this[process, Own.FORMER] and this[process, Own.PROMISES])
+
+    /** The worker refuses former leaders from then on; of a later incarnation it is known that this one has ended. */
+    fun pollWorker(state: LeaseState, process: Int): LeaseState? {
+        val term = state[process, Own.HELD]
+        val fence = state[Shared.VOTING_WORKER_FENCE]
+        val hasEnded = fence == ENDED
+        if (!scope.hasVotingWorker) return null
+        if (!hasEnded && fence > term && removed != Rule.WORKER_REFUSES_FORMER_LEADERS) return null
+        val next = state.copy()
+        if (!hasEnded) {
+            next[Shared.VOTING_WORKER_FENCE] = maxOf(term, fence)
+            next[process, Own.WORKER_AGE] = 0
+        }
+        if (state[process, Own.REVOCATION] == 1 && voters.hasWorker(state[process, Own.FORMER])) {
+            next[process, Own.PROMISES] = state[process, Own.PROMISES] or scope.worker
+            next.completeRevocation(process)
+        }
+        return next.takeUnless { it.bytes.contentEquals(state.bytes) }
     }
 
     fun read(state: LeaseState, process: Int): LeaseState? {
@@ -184,9 +227,11 @@
     private fun LeaseState.completeRevocation(process: Int) {
         val isComplete = this[process, Own.FORMER] == 0 ||
             removed == Rule.SUCCESSOR_NEEDS_PROMISES ||
-            voters.isMajorityOf(this[process, Own.FORMER], this[process, Own.PROMISES])
+            voters.isMajorityOf(this[process, Own.FORMER], this[process, Own.PROMISES]) ||
+            (hasPromiseOfWorker(process) && this[process, Own.REVOKED_AGE] >= workerWait)
         if (!isComplete) return
         this[process, Own.REVOCATION] = 2
+        this[process, Own.REVOKED_AGE] = 0
         this[process, Own.FORMER] = 0
         this[process, Own.PROMISES] = 0
     }
@@ -255,6 +300,7 @@
     private fun LeaseState.begin(process: Int, term: Int) {
         this[process, Own.HELD] = term
         this[process, Own.ASKED_AGE] = scope.authority
+        this[process, Own.WORKER_AGE] = scope.workerVote
     }
 
     private fun LeaseState.end(process: Int) {
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseScope.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseScope.kt
@@ -17,6 +17,11 @@
     MORE_THAN_HALF,
     DEADLINE_READ_BEFORE_AUTHORITY,
     LEADER_KEEPS_ITS_OWN_PROMISE,
+    LEADER_NEEDS_MOST_WORKERS,
+    WORKER_REFUSES_FORMER_LEADERS,
+    WORKER_VOTES_BY_INCARNATION,
+    WORKER_VOTE_ENDS,
+    WAIT_COVERS_WORKER_VOTES,
 }
 
 /** How often each kind of trouble may happen in one history. */
@@ -26,14 +31,24 @@
     val restarts: Int = 0,
     val changes: Int = 0,
     val suspensions: Int = 0,
+    /** Restarts of the worker that votes. */
+    val workerRestarts: Int = 0,
+    /** Changes may add the worker that votes, and take it away. */
+    val changesWorker: Boolean = false,
     /** Time may pass between the decision to grant a lease and the arrival of the request. */
     val hasLateRequests: Boolean = false,
     /** Leaders may end their term by themselves, and lead again. */
     val hasReleases: Boolean = false,
     /** Time for which a vote or a call holds, in units of the model. */
     val authority: Int = 2,
+    /** Time for which the answer of a worker holds as its vote. */
+    val workerVote: Int = authority + 2,
     /** Time for which a lease lasts. */
     val lease: Int = 3,
     /** Masks of the voters at the start; process 0 leads. */
     val firstVoters: List<Int> = listOf((1 shl processes) - 1),
-)
+) {
+    /** The mask of the worker in a set of voters. */
+    val worker: Int get() = 1 shl processes
+    val hasVotingWorker: Boolean = changesWorker || firstVoters.any { it and worker != 0 }
+}
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseSearchTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseSearchTest.kt
@@ -34,7 +34,38 @@
 private val CHANGE_IN_THREE_TERMS =
     CHANGES.copy(lastTerm = 3, changes = 1, hasReleases = true, firstVoters = listOf(0b001, 0b111))
 
-private val SCOPES = listOf(LEASES, LATE_REQUESTS, RESTARTS, SUSPENSIONS, PAIR, CHANGES)
+/** A worker votes beside one process, which can be lost, or beside both. */
+private val VOTING_WORKER =
+    LeaseScope(processes = 2, lastTerm = 2, workerRestarts = 1, firstVoters = listOf(0b101, 0b111))
+private val VOTING_WORKER_RESTARTS = VOTING_WORKER.copy(workerRestarts = 0, restarts = 1, hasReleases = true)
+private val VOTING_WORKER_SUSPENSIONS = VOTING_WORKER.copy(workerRestarts = 0, suspensions = 1)
+private val VOTING_WORKER_REQUESTS = VOTING_WORKER.copy(workerRestarts = 0, hasLateRequests = true)
+private val VOTING_WORKER_IN_THREE_TERMS = VOTING_WORKER.copy(lastTerm = 3, authority = 1, workerVote = 3, lease = 1)
+private val VOTING_WORKER_CHANGES = VOTING_WORKER.copy(
+    lastTerm = 3,
+    changes = 1,
+    workerRestarts = 0,
+    changesWorker = true,
+    firstVoters = listOf(0b001, 0b101, 0b111),
+    authority = 1,
+    workerVote = 3,
+    lease = 1,
+)
+
+private val SCOPES = listOf(
+    LEASES,
+    LATE_REQUESTS,
+    RESTARTS,
+    SUSPENSIONS,
+    PAIR,
+    CHANGES,
+    VOTING_WORKER,
+    VOTING_WORKER_RESTARTS,
+    VOTING_WORKER_SUSPENSIONS,
+    VOTING_WORKER_REQUESTS,
+    VOTING_WORKER_IN_THREE_TERMS,
+    VOTING_WORKER_CHANGES,
+)
 private val LARGE_SCOPES = listOf(
     CHANGE_IN_THREE_TERMS,
     CHANGE_IN_THREE_TERMS.copy(hasReleases = false, restarts = 1),
@@ -96,6 +127,11 @@
             Case(SUSPENSIONS, Rule.CLOCK_INCLUDES_SUSPENSIONS, steps = 11),
             Case(LEASES.copy(firstVoters = listOf(0b011)), Rule.MORE_THAN_HALF, steps = 9),
             Case(LATE_REQUESTS, Rule.DEADLINE_READ_BEFORE_AUTHORITY, steps = 10),
+            Case(VOTING_WORKER, Rule.LEADER_NEEDS_MOST_WORKERS, steps = 12),
+            Case(VOTING_WORKER, Rule.WORKER_REFUSES_FORMER_LEADERS, steps = 13),
+            Case(VOTING_WORKER, Rule.WORKER_VOTES_BY_INCARNATION, steps = 14),
+            Case(VOTING_WORKER, Rule.WORKER_VOTE_ENDS, steps = 12),
+            Case(VOTING_WORKER, Rule.WAIT_COVERS_WORKER_VOTES, steps = 11),
             // Nothing rests on this rule: among the voters whose promises revoke a term is one that it needs.
         ) + ownPromiseScopes().map { Case(it, Rule.LEADER_KEEPS_ITS_OWN_PROMISE, steps = null) }
 
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseState.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseState.kt
@@ -1,7 +1,7 @@
 /**
  * A state of the lease model, packed into bytes so that hundreds of thousands of them fit in memory.
  *
- * Sets of processes are bit masks. Times are ages in units of the model, clamped where a longer one changes nothing.
+ * Sets of processes are bit masks; in a set of voters the bit after those of the processes stands for a worker. Times are ages in units of the model, clamped where a longer one changes nothing.
  */
 package dev.bronzeshore.leadership
 
@@ -20,6 +20,9 @@
     /** Highest fencing token that the worker has seen. */
     FENCE,
 
+    /** The same for the worker that votes, which is another one; [ENDED] if this incarnation has ended. */
+    VOTING_WORKER_FENCE,
+
     /** A grant that was decided on and has not arrived yet: its term, 0 if there is none, and units to its deadline. */
     REQUEST_TERM,
     REQUEST_LEFT,
@@ -27,6 +30,7 @@
     /** Number of the suspended process, from 1; 0 if none is. */
     SUSPENDED,
     RESTARTS_LEFT,
+    WORKER_RESTARTS_LEFT,
     CHANGES_LEFT,
     SUSPENSIONS_LEFT,
 
@@ -53,6 +57,9 @@
     ASKED_AGE,
     GRANTED,
 
+    /** Since the request was sent that the voting worker answered last. */
+    WORKER_AGE,
+
     /** `VoterSet`: the voters known as stored, and writes that may apply later. */
     STORED,
     OPEN_VERSION_1,
@@ -68,10 +75,16 @@
     FORMER,
     PROMISES,
 
-    /** Since the revocation was complete, by a clock that stands still during suspensions. */
+    /**
+     * Since the revocation was complete, or before that since the worker has promised, by a clock that stands still
+     * during suspensions.
+     */
     REVOKED_AGE,
 }
 
+/** Higher than any term. */
+internal const val ENDED = 9
+
 private val SHARED_FIELDS = Shared.entries.size
 private val OWN_FIELDS = Own.entries.size
 
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterModel.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterModel.kt
@@ -12,6 +12,7 @@
 
 internal class VoterModel(private val scope: LeaseScope, private val removed: Rule?) {
     private val masks = 0 until (1 shl scope.processes)
+    private val votersToStore = masks + if (scope.changesWorker) masks.map { it or scope.worker } else emptyList()
 
     private val majorities: List<BooleanArray> = masks.map { voters ->
         BooleanArray(masks.last + 1) { names ->
@@ -23,16 +24,28 @@
     private fun setOf(mask: Int): Set<String> =
         (0 until scope.processes).filter { mask and (1 shl it) != 0 }.map { "$it" }.toSet()
 
-    fun isMajorityOf(voters: Int, names: Int): Boolean = majorities[voters][names]
+    /** The same of the processes alone. */
+    fun isMajorityOf(voters: Int, names: Int): Boolean = majorities[voters and masks.last][names and masks.last]
+
+    fun hasWorker(voters: Int): Boolean = voters and scope.worker != 0
 
     /** Counts the votes of the present round; true if that prolongs the authority. */
     fun count(state: LeaseState, process: Int): Boolean {
-        val asked = state[process, Own.ASKED_AGE]
+        val asked = maxOf(state[process, Own.ASKED_AGE], workerAge(state, process))
         if (asked >= state[process, Own.CONFIRMED_AGE] || !isMajority(state, process)) return false
         state[process, Own.CONFIRMED_AGE] = asked
         return true
     }
 
+    /** The age of a round of processes whose votes hold as long as that of the worker, if that is needed. */
+    private fun workerAge(state: LeaseState, process: Int): Int {
+        val possible = OPEN.map { state[process, it.second] } + state[process, Own.STORED]
+        val isNeeded = possible.any { hasWorker(it) } && removed != Rule.LEADER_NEEDS_MOST_WORKERS
+        if (!isNeeded) return 0
+        if (removed == Rule.WORKER_VOTE_ENDS) return 0
+        return state[process, Own.WORKER_AGE] - (scope.workerVote - scope.authority)
+    }
+
     fun isMajority(state: LeaseState, process: Int): Boolean {
         val granted = state[process, Own.GRANTED]
         val stored = state[process, Own.STORED]
@@ -51,7 +64,7 @@
         ) {
             return
         }
-        for (wanted in masks) {
+        for (wanted in votersToStore) {
             if (wanted and (1 shl process) == 0 || wanted == state[process, Own.STORED]) continue
             val next = state.copy()
             next[Shared.CHANGES_LEFT] = state[Shared.CHANGES_LEFT] - 1
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterModelTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterModelTest.kt
@@ -13,7 +13,7 @@
     private class Call(val name: String, val real: VoterSet.() -> Unit, val mirrored: VoterModel.(LeaseState) -> Unit)
 
     private val calls = MASKS.flatMap { mask ->
-        val voters = namesOf(mask)
+        val voters = Electorate(namesOf(mask))
         val observed = (VERSIONS + null).map { version ->
             Call("observe $mask $version", { observe(voters, version) }) { observe(it, 0, mask, version?.toInt() ?: 0) }
         }
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterSelectionTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterSelectionTest.kt
@@ -1,6 +1,7 @@
-/** Which processes become voters. */
+/** Which processes and workers become voters. */
 package dev.bronzeshore.leadership
 
+import dev.bronzeshore.core.cluster.WorkerIncarnation
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
@@ -27,7 +28,44 @@
         assertEquals(case.selected.map { "$it" }.toSet(), selectVoters(OWN, stored, silenceMs))
     }
 
+    /** [answering] workers have just answered, [silent] ones not for the given time; names are single letters. */
+    data class WorkerCase(
+        val name: String,
+        val stored: String,
+        val answering: String,
+        val silent: Map<Char, Long>,
+        val selected: String,
+    ) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("workerCases")
+    fun `guards against workers that vote although they are lost, or too few of them`(case: WorkerCase) {
+        val silenceMs = case.answering.associate { workerOf(it) to 0L } + case.silent.mapKeys { workerOf(it.key) }
+        val selected = selectWorkerVoters(case.stored.mapTo(HashSet()) { workerOf(it) }, silenceMs)
+        assertEquals(case.selected.mapTo(HashSet()) { workerOf(it) }, selected)
+    }
+
     companion object {
+        private fun workerOf(name: Char) = WorkerIncarnation("$name", startedAtMs = 1)
+
+        private val MANY = CharRange('A', 'A' + MAX_WORKER_VOTERS + 1).joinToString("")
+
+        @JvmStatic
+        fun workerCases(): List<Any> = listOf(
+            WorkerCase("none", "", "", emptyMap(), ""),
+            WorkerCase("two workers", "", "ab", emptyMap(), ""),
+            WorkerCase("three workers", "", "abc", emptyMap(), "abc"),
+            WorkerCase("a worker joins", "bcd", "abcd", emptyMap(), "bcd"),
+            WorkerCase("two workers join", "bcd", "abcde", emptyMap(), "abcde"),
+            WorkerCase("more than fit", "", MANY, emptyMap(), MANY.take(MAX_WORKER_VOTERS)),
+            WorkerCase("one was silent for a short time", "abc", "ab", mapOf('c' to LOST - 1), "abc"),
+            WorkerCase("one is lost and replaced", "abc", "abd", mapOf('c' to LOST), "abd"),
+            WorkerCase("most are silent", "abcde", "ab", "cde".associateWith { LOST }, "abcde"),
+            WorkerCase("most are lost for long", "abcde", "abfg", "cde".associateWith { LONG_LOST }, "abf"),
+        )
+
         private val LOST = VOTER_LOST_AFTER_MS
         private val LONG_LOST = MAJORITY_LOST_AFTER_MS
 
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/VotersRowTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VotersRowTest.kt
@@ -6,6 +6,7 @@
 import dev.bronzeshore.core.cluster.encodeRow
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 
@@ -19,4 +20,12 @@
         assertTrue(bytes.size <= MAX_ROW_BYTES) { "${bytes.size} bytes" }
         assertEquals(row, decodeRow(VotersRow.serializer(), bytes).getOrNull())
     }
+
+    /** Guards against voting workers with long names whose row the store refuses. */
+    @Test
+    fun `the most voting workers fit`() {
+        val worker = WorkerVoter("n".repeat(200), Long.MAX_VALUE)
+        val row = VotingWorkersRow(List(MAX_WORKER_VOTERS) { worker })
+        assertTrue(encodeRow(VotingWorkersRow.serializer(), row).size <= MAX_ROW_BYTES)
+    }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermControl.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermControl.kt
@@ -1,7 +1,9 @@
 /** What the process that runs a leader knows of its term, and does for it. */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.cluster.RowWrite
+import dev.bronzeshore.core.cluster.WorkerIncarnation
 
 public class TermControl(
     public val renewal: TermRenewal,
@@ -28,4 +30,13 @@
     public val formerRevokedAtMs: () -> Long?,
     /** Keeps the authority until cancelled. */
     public val maintain: suspend () -> Unit,
+    public val workerAnswers: WorkerAnswers = WorkerAnswers({ 0 }, { _, _ -> }),
+)
+
+/** Receives the answers of workers, which show that they refuse former leaders. */
+public class WorkerAnswers(
+    /** Clock that includes suspensions. */
+    public val clock: ClockMs,
+    /** Called with an incarnation that has answered, and the time of [clock] before the request was sent. */
+    public val record: (worker: WorkerIncarnation, sentAtMs: Long) -> Unit,
 )
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -13,6 +13,7 @@
 import dev.bronzeshore.core.cluster.HoldAnswer
 import dev.bronzeshore.core.cluster.HoldRequest
 import dev.bronzeshore.core.cluster.WorkerConnection
+import dev.bronzeshore.core.cluster.WorkerIncarnation
 import kotlinx.coroutines.delay
 
 /** Time for which a poll waits for an end; with a longer one, stalled tasks and lost workers are noticed later. */
@@ -48,13 +49,7 @@
     /** Polls at once, in parallel to a poll that may be waiting; used when a request to the worker failed. */
     suspend fun probe() {
         val requestedAtMs = context.clock()
-        context.metrics.workerPoll()
-        when (
-            val answer = context.calls.hold(
-                worker.entry,
-                holdRequestAt(requestedAtMs).copy(waitMs = 0, acknowledgedEnd = 0, connection = null),
-            )
-        ) {
+        when (val answer = hold(holdRequestAt(requestedAtMs).copy(waitMs = 0, acknowledgedEnd = 0, connection = null))) {
             is HoldAnswer.Report -> when {
                 isFromSuccessor(answer) -> onSuccessor(worker, answer.startedAtMs)
 
@@ -79,10 +74,9 @@
 
     private suspend fun pollOnce() {
         val requestedAtMs = context.clock()
-        context.metrics.workerPoll()
         val request = holdRequestAt(requestedAtMs)
         val asked = worker.entry
-        when (val answer = context.calls.hold(asked, request)) {
+        when (val answer = hold(request)) {
             is HoldAnswer.Report -> handleReport(answer, requestedAtMs, request.acknowledgedEnd)
 
             is HoldAnswer.Fenced -> {
@@ -100,6 +94,17 @@
         }
     }
 
+    private suspend fun hold(request: HoldRequest): HoldAnswer {
+        context.metrics.workerPoll()
+        val sentAtMs = context.authority.workerAnswers.clock()
+        val answer = context.calls.hold(worker.entry, request)
+        if (answer is HoldAnswer.Report) {
+            val answering = WorkerIncarnation(worker.id, answer.startedAtMs)
+            context.authority.workerAnswers.record(answering, sentAtMs)
+        }
+        return answer
+    }
+
     private fun holdRequestAt(now: Long): HoldRequest {
         worker.acknowledge(context.savedChangeNumber)
         // A poll of an unreachable worker grants no lease: otherwise the leases of a lost worker would never expire.
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaseVoting.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/LeaseVoting.kt
@@ -15,6 +15,7 @@
 import dev.bronzeshore.peering.CallHandler
 import dev.bronzeshore.peering.handlerOf
 import dev.bronzeshore.scheduler.TermAuthority
+import dev.bronzeshore.scheduler.WorkerAnswers
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -60,7 +61,12 @@
             clocks.elapsed,
         )
         val quorum = LeaseQuorum(context, term)
-        return TermAuthority({ quorum.mayGrantLeases }, { quorum.formerRevokedAtMs }, quorum::run)
+        return TermAuthority(
+            { quorum.mayGrantLeases },
+            { quorum.formerRevokedAtMs },
+            quorum::run,
+            WorkerAnswers(clocks.elapsed, quorum::recordWorkerAnswer),
+        )
     }
 
     /** Handlers of the calls of leaders; [control] is the control thread of this process. */
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SimulatedVoters.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SimulatedVoters.kt
@@ -4,6 +4,7 @@
 import dev.bronzeshore.core.ClockMs
 import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.NodeRow
+import dev.bronzeshore.core.cluster.RowRangeQuery
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.leadership.HeldTermMonitor
 import dev.bronzeshore.leadership.LeaderTerm
@@ -12,6 +13,7 @@
 import dev.bronzeshore.leadership.LeaseVoter
 import dev.bronzeshore.leadership.VoterCalls
 import dev.bronzeshore.scheduler.TermAuthority
+import dev.bronzeshore.scheduler.WorkerAnswers
 import dev.bronzeshore.standins.cluster.StoreStandIn
 import kotlinx.coroutines.delay
 
@@ -22,6 +24,10 @@
 internal class SimulatedVoters(private val store: StoreStandIn, private val clock: ClockMs) {
     /** Processes that reach each other, and none of the others. */
     val cutOff: MutableSet<String> = HashSet()
+
+    /** Processes that answer nobody any more. */
+    private val lost = HashSet<String>()
+    val names: List<String> get() = VOTER_NAMES
     private val members = HashMap<String, Member>()
     private val termOfVersion = HashMap<Long, Long>()
 
@@ -58,7 +64,12 @@
             termOfVersion[term.termRowVersion] = term.term
             val context = LeaseQuorumContext(name, store, heldTerms, voter, ::peers, calls(), monotonic, elapsed)
             val quorum = LeaseQuorum(context, term)
-            return TermAuthority({ quorum.mayGrantLeases }, { quorum.formerRevokedAtMs }, quorum::run)
+            return TermAuthority(
+                { quorum.mayGrantLeases },
+                { quorum.formerRevokedAtMs },
+                quorum::run,
+                WorkerAnswers(elapsed, quorum::recordWorkerAnswer),
+            )
         }
 
         private fun peers() = (VOTER_NAMES - name).map { NodeRow(it, it, "$it:1") }
@@ -69,7 +80,7 @@
         )
 
         private suspend fun call(peer: NodeRow): LeaseVoter? {
-            if ((name in cutOff) != (peer.processName in cutOff)) {
+            if (peer.processName in lost || (name in cutOff) != (peer.processName in cutOff)) {
                 delay(CALL_TIMEOUT_MS)
                 return null
             }
@@ -81,6 +92,16 @@
     fun memberFor(name: String, monotonic: ClockMs, elapsed: ClockMs): Member =
         members.getOrPut(name) { Member(name, monotonic, elapsed) }
 
+    /** Lets a leader read its term in the store, as each of its heartbeats does. */
+    suspend fun confirmTermOf(name: String) {
+        members[name]?.store?.readPage(RowRangeQuery(Tables.LEADER, Tables.LEADER_PARTITION))
+    }
+
+    /** The first [count] voters are lost for good. */
+    fun lose(count: Int) {
+        lost += VOTER_NAMES.take(count)
+    }
+
     fun restart(name: String) = members.getValue(name).restart()
 
     fun restartAll() = VOTER_NAMES.forEach { restart(it) }
