Store the progress of jobs with many tasks in parts

Cause: the progress of a job was one row that grew with its tasks past the 65,536 bytes that the store takes; the store refused the transaction with all other rows in it, each time.

Change: a job whose progress may pass the limit has a row for each range of its tasks, and an end rewrites the row of its range. The ranges follow from the job alone. Rows of the old form are read on, and the job's row loses the progress of its tasks only with the last part or later. Parts are deleted after the job's end or that of their occurrence.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -48,6 +48,10 @@
     public val doneOccurrences: List<OccurrenceRange> = emptyList(),
 )
 
+/** Progress of the tasks [first] to [last] of a step, in a row of its own; it replaces what the job's row says of them. */
+@Serializable
+public data class ProgressPart(public val first: Int, public val last: Int, public val progress: StepProgress)
+
 /** Number of jobs without a started task for each queue, as reported to callers. */
 @Serializable
 public data class WaitingCounts(public val byQueue: Map<String, Int>)
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
@@ -84,7 +84,7 @@
     }
 
     private suspend fun progressOf(jobId: String): StateAnswer {
-        val rows = readJobRows(Tables.PROGRESS, Tables.LEADER_PARTITION, jobId) ?: return StateAnswer.Unavailable
+        val rows = readRows(jobId, Tables.progressRange(jobId)) ?: return StateAnswer.Unavailable
         val value = rows.firstOrNull { it.id.key == jobId }?.value ?: return StateAnswer.NoSuchJob
         return decodeState(jobId, value)
     }
@@ -99,7 +99,10 @@
         )
 
     private suspend fun readJobRows(table: String, partition: String, jobId: String): List<StoredRow>? =
-        store.readPage(Tables.rowsOfJob(table, partition, jobId)).fold(
+        readRows(jobId, Tables.rowsOfJob(table, partition, jobId))
+
+    private suspend fun readRows(jobId: String, query: RowRangeQuery): List<StoredRow>? =
+        store.readPage(query).fold(
             ifLeft = { failure ->
                 log.event("state_unavailable", "job" to jobId, "cause" to failure)
                 null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
@@ -49,12 +49,12 @@
 
     /** The next incarnation of the worker has the run, so it has not crashed the former one. */
     fun withdraw(placement: Placement) {
-        if (placement.task.crashes.remove(placement.run.run)) context.markChanged(placement.task.step.job)
+        if (placement.task.crashes.remove(placement.run.run)) context.markChanged(placement.task)
     }
 
     private fun record(task: TrackedTask, crash: CrashedRun, isOnlySuspect: Boolean, isUnstable: Boolean) {
         task.crashes.record(crash)
-        context.markChanged(task.step.job)
+        context.markChanged(task)
         if (!task.crashes.isCause(isOnlySuspect, task.step.description.isService, isUnstable)) return
         context.metrics.losses.crashingTask()
         lifecycle.giveUp(task, "task ${task.name} has crashed its workers")
@@ -86,14 +86,14 @@
         val noticedAtMs = worker.unreachableSinceMs ?: return
         for (placement in worker.placements.filter { roleOf(it, noticedAtMs) == CrashRole.LIKELY_CAUSE }) {
             placement.task.crashes.record(CrashedRun(placement.run.run, CrashRole.LIKELY_CAUSE, isCertain = false))
-            context.markChanged(placement.task.step.job)
+            context.markChanged(placement.task)
         }
     }
 
     /** The worker answers again, so its runs have not crashed it. */
     fun withdrawPresumption(worker: TrackedWorker) {
         for (placement in worker.placements) {
-            if (placement.task.crashes.withdraw(placement.run.run)) context.markChanged(placement.task.step.job)
+            if (placement.task.crashes.withdraw(placement.run.run)) context.markChanged(placement.task)
         }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashTrials.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashTrials.kt
@@ -44,7 +44,7 @@
     private fun clear(task: TrackedTask) {
         task.crashes.clearSuspicion()
         context.log.event("crash_suspicion_cleared", "task" to task.name)
-        context.markChanged(task.step.job)
+        context.markChanged(task)
     }
 
     /** True if a suspected task of [job] may start on [worker] now. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobLifecycle.kt
@@ -28,6 +28,7 @@
         val now = context.clock()
         context.jobMemory.release(accepted.jobId)
         val job = jobs.add(accepted, now - ageMs, now, version) ?: return
+        if (job.isStoredWithoutParts) (job.progressRows.allParts() + job).forEach { context.markChanged(it) }
         context.keptEnds.takeFormer(job.id).forEach { applyKept(job, it) }
         job.isBeyondRate =
             context.submissionRates.exceedsRate(context.accounts(), accepted.account, accepted.acceptedAtMs)
@@ -137,7 +138,7 @@
         if (countFailure(task, end.run.run) >= job.terms.maxAttempts) {
             close(job, JobPhase.FAILED, "task ${task.name} failed ${job.terms.maxAttempts} times")
         }
-        context.markChanged(job)
+        context.markChanged(task)
     }
 
     /** The run no longer exists, and its worker will not report an end for it. */
@@ -199,7 +200,7 @@
             EndKind.FAILED -> failed(task, end, workerId)
             else -> restartLater(task)
         }
-        context.markChanged(job)
+        context.markChanged(task)
         context.wakePlanner()
     }
 
@@ -218,7 +219,10 @@
         when {
             !occurrences.isComplete(step.occurrence) -> Unit
             occurrences.isLast(step.occurrence) -> close(step.job, JobPhase.COMPLETED, "all tasks are done")
-            else -> occurrences.markDone(step.occurrence)
+            else -> {
+                occurrences.markDone(step.occurrence)
+                context.markChanged(step.job)
+            }
         }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobOccurrences.kt
@@ -62,6 +62,8 @@
     /** All tasks of the occurrence are done. */
     fun isComplete(occurrence: Int): Boolean = occurrence in done || open[occurrence]?.all { it.isDone } ?: false
 
+    fun isDone(occurrence: Int): Boolean = occurrence in done
+
     /** True if no occurrence but [occurrence] is left to do. */
     fun isLast(occurrence: Int): Boolean = done.count == count - 1 && occurrence !in done
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/JobRegistry.kt
@@ -5,6 +5,8 @@
 import dev.bronzeshore.core.cluster.ENDED_JOB_BYTES
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.ProgressPart
+import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.TaskName
 import dev.bronzeshore.core.cluster.footprintBytes
 
@@ -17,6 +19,9 @@
     private val ended = LinkedHashMap<String, Long>()
     private val storedProgress = HashMap<String, JobProgress>()
 
+    /** The parts of progress that former leaders stored, until the job itself is added. */
+    private val storedParts = HashMap<String, MutableList<Pair<RowId, ProgressPart>>>()
+
     private var openBytes = 0L
 
     /** Estimated memory for the open jobs and the ends of others. */
@@ -58,6 +63,24 @@
         storedProgress[jobId] = progress
     }
 
+    /** The same for a part of the progress, in the row [id]. */
+    fun recordPart(jobId: String, id: RowId, part: ProgressPart) {
+        storedParts.getOrPut(jobId) { ArrayList() } += id to part
+    }
+
+    /** The rows of parts of a job's progress that are stored or may be. */
+    fun partRowsOf(jobId: String): List<RowId> =
+        storedParts[jobId].orEmpty().map { it.first } + jobs[jobId]?.progressRows?.partIds.orEmpty()
+
+    /** Forgets rows of parts that have been deleted. */
+    fun forgetParts(jobId: String, rows: Collection<RowId>) {
+        storedParts.remove(jobId)
+        jobs[jobId]?.progressRows?.forget(rows)
+    }
+
+    /** The jobs whose ends are stored or about to be, and that have rows of parts. */
+    val endedWithParts: List<String> get() = ended.keys.filter { partRowsOf(it).isNotEmpty() }
+
     fun setAside(jobId: String) {
         setAside += jobId
     }
@@ -69,7 +92,9 @@
         jobs[accepted.jobId]?.noteStored(storedVersion)
         if (accepted.jobId in jobs || accepted.jobId in ended || accepted.jobId in setAside) return null
         val job = TrackedJob(accepted, acceptedAtMs, knownAtMs, storedVersion)
-        storedProgress.remove(job.id)?.let { job.restore(it) }
+        val parts = storedParts.remove(job.id).orEmpty()
+        job.restore(storedProgress.remove(job.id), parts.map { it.second })
+        parts.forEach { job.progressRows.noteFormer(it.first, it.second.progress.occurrence) }
         jobs[job.id] = job
         if (job.isOpen) {
             open[job.id] = job
@@ -100,6 +125,7 @@
         jobs.remove(jobId)
         cancelled.remove(jobId)
         ended.remove(jobId)
+        storedParts.remove(jobId)
         inAlternatePartition.remove(jobId)
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/KeptEndRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/KeptEndRegistry.kt
@@ -33,7 +33,7 @@
             task.index,
             end.run.run,
             end.kind,
-            end.checkpoint,
+            storedCheckpoint(end.checkpoint),
         )
         return kept.getOrPut(task.jobId) { KeptEndsOfJob(task.jobId, term) }.add(stored)
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/KeptEndsOfJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/KeptEndsOfJob.kt
@@ -16,13 +16,13 @@
 
     /** Adds an end; returns the row that has changed. */
     fun add(end: KeptEnd): UnsavedRow {
-        if (written.lastOrNull()?.isFull != false) written += KeptEndsRow(KeptEndRows.row(jobId, term, written.size))
+        if (written.lastOrNull()?.isFull != false) written += KeptEndsRow(KeptEndRows.row(jobId, term, written.size), jobId)
         return written.last().also { it.add(end) }
     }
 
     val rows: List<RowId> get() = written.map { it.id }
 
-    private class KeptEndsRow(val id: RowId) : UnsavedRow {
+    private class KeptEndsRow(val id: RowId, override val jobId: String) : UnsavedRow {
         private val ends = ArrayList<KeptEnd>()
         val isFull: Boolean get() = ends.size >= MAX_ENDS_IN_ROW
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -133,6 +133,7 @@
         counts: Map<String, Int>?,
         roster: List<RosterRow>,
     ) {
+        context.changes.recordSaved()
         context.savedChangeNumber = maxOf(context.savedChangeNumber, batch.savedUpTo)
         phases.forEach { (job, phase) -> job.noteSaved(phase) }
         counts?.let {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -12,6 +12,7 @@
 import dev.bronzeshore.core.cluster.JobProgress
 import dev.bronzeshore.core.cluster.KeptEndRows
 import dev.bronzeshore.core.cluster.KeptEnds
+import dev.bronzeshore.core.cluster.ProgressPart
 import dev.bronzeshore.core.cluster.RosterWorker
 import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.Tables
@@ -92,6 +93,7 @@
 
     /** A job whose progress cannot be decoded is set aside: to start it anew could repeat what has run. */
     private fun restoreProgress(row: StoredRow) {
+        Tables.jobOfProgressPart(row.id.key)?.let { return restorePart(row, it) }
         val stored = row.decoded(JobProgress.serializer()) ?: return context.jobRegistry.setAside(row.id.key)
         if (stored.phase.isEnded) {
             context.jobRegistry.recordEnded(row.id.key, stored.endedAtMs ?: context.wallClock())
@@ -100,6 +102,11 @@
         }
     }
 
+    private fun restorePart(row: StoredRow, jobId: String) {
+        val part = row.decoded(ProgressPart.serializer()) ?: return context.jobRegistry.setAside(jobId)
+        context.jobRegistry.recordPart(jobId, row.id, part)
+    }
+
     /** Restores the end of a job that a former leader stored while its own partition did not respond. */
     private fun restoreEnd(row: StoredRow) {
         val jobId = IntakeRows.endedJobOf(row.id.key) ?: return
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RowGarbageCollector.kt
@@ -9,6 +9,7 @@
 
 import dev.bronzeshore.core.cluster.IntakeRows
 import dev.bronzeshore.core.cluster.RowCondition
+import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.StoreOutcome
 import dev.bronzeshore.core.cluster.StoreTransaction
 import dev.bronzeshore.core.cluster.Tables
@@ -36,9 +37,36 @@
     suspend fun runOnce() {
         delay(COLLECTION_PERIOD_MS)
         deleteAcceptedRows()
+        deletePartsOfEndedJobs()
+        deletePartsOfDoneOccurrences()
         deleteExpiredJobs()
     }
 
+    /** Deletes the rows of parts of the progress of jobs whose end is stored. */
+    private suspend fun deletePartsOfEndedJobs() {
+        for (jobId in context.jobRegistry.endedWithParts) {
+            val isStored = context.jobRegistry.find(jobId)?.savedPhase?.isEnded ?: true
+            if (!isStored || !context.changes.areSaved(jobId)) continue
+            val rows = context.jobRegistry.partRowsOf(jobId)
+            if (delete(rows)) context.jobRegistry.forgetParts(jobId, rows)
+        }
+    }
+
+    /** Deletes the rows of parts of occurrences that are done. */
+    private suspend fun deletePartsOfDoneOccurrences() {
+        for (job in context.jobRegistry.openJobs.toList()) {
+            val rows = job.progressRows.obsoleteParts(context.changes::isSaved)
+            if (rows.isNotEmpty() && delete(rows)) job.progressRows.forget(rows)
+        }
+    }
+
+    private suspend fun delete(rows: List<RowId>): Boolean {
+        val condition = RowCondition(Tables.TERM_ROW, context.termRowVersion)
+        return rows.chunked(MAX_ROWS_IN_TRANSACTION).all {
+            context.store.transact(StoreTransaction(listOf(condition), deletes = it)) is StoreOutcome.Applied
+        }
+    }
+
     /** Deletes the accepted rows of jobs whose end is stored. */
     suspend fun deleteAcceptedRows() {
         val ended = context.jobRegistry.allJobs
@@ -91,10 +119,8 @@
     }
 
     private suspend fun deleteProgress(jobIds: List<String>): Boolean {
-        val condition = RowCondition(Tables.TERM_ROW, context.termRowVersion)
-        val rows = jobIds.flatMap { listOf(Tables.progressRow(it)) + context.keptEnds.rowsOf(it) }
-        return rows.chunked(MAX_ROWS_IN_TRANSACTION).all {
-            context.store.transact(StoreTransaction(listOf(condition), deletes = it)) is StoreOutcome.Applied
-        }
+        // Without the row that says that the job has ended, its parts would be those of an open job.
+        val parts = jobIds.flatMap { context.jobRegistry.partRowsOf(it) }
+        return delete(parts) && delete(jobIds.flatMap { listOf(Tables.progressRow(it)) + context.keptEnds.rowsOf(it) })
     }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermContext.kt
@@ -88,4 +88,7 @@
 
     /** Marks a job's progress, or another row, as changed; returns the number of the change. */
     fun markChanged(row: UnsavedRow): Long = changes.add(row).also { wakeJournal() }
+
+    /** Marks the progress of [task] as changed. */
+    fun markChanged(task: TrackedTask) = task.step.job.progressRows.of(task).forEach { markChanged(it) }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
@@ -4,7 +4,9 @@
 import dev.bronzeshore.core.cluster.AcceptedJob
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.ProgressPart
 import dev.bronzeshore.core.cluster.RowWrite
+import dev.bronzeshore.core.cluster.StepName
 import dev.bronzeshore.core.cluster.StepProgress
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.TaskName
@@ -79,12 +81,16 @@
     fun remainingCriticalPathMs(step: TrackedStep): Long = criticalPathFromMs[step.number]
 
     fun toProgress(): JobProgress = if (isOpen) {
-        val steps = openSteps.mapNotNull { it.toProgress() }
+        val steps = if (progressRows.hasParts) emptyList() else openSteps.mapNotNull { it.toProgress() }
         JobProgress(phase, steps, doneOccurrences = occurrences.doneRanges)
     } else {
         JobProgress(phase, endedAtMs = endedAtMs)
     }
 
+    /** The rows of the progress: this one, and those of the parts if there are any. */
+    val progressRows = ProgressRows(this)
+    override val jobId: String get() = id
+
     override fun toWrite() = RowWrite(Tables.progressRow(id), encodeRow(JobProgress.serializer(), toProgress()))
 
     /** Notes that [phase] is stored; nothing but the end of an ended job is needed then. */
@@ -95,20 +101,34 @@
         accepted = accepted.copy(description = accepted.description.copy(payload = ""))
     }
 
-    /** Restores what a former leader stored. */
-    fun restore(progress: JobProgress) {
-        phase = progress.phase
-        savedPhase = progress.phase
-        endedAtMs = progress.endedAtMs
-        progress.doneOccurrences.forEach { occurrences.restoreDone(it) }
-        for (stored in progress.steps) restore(stored)
-    }
+    /**
+     * A former leader stored the progress of tasks in the job's row, which now belongs into parts. The row may be
+     * written without it only along with the last part or later.
+     */
+    var isStoredWithoutParts: Boolean = false
+        private set
 
-    private fun restore(stored: StepProgress) {
-        step(stored.occurrence, stored.step)?.restore(stored)
-        if (occurrences.isComplete(stored.occurrence)) occurrences.markDone(stored.occurrence)
+    /** Restores what a former leader stored; each of [parts] replaces what [progress] says of its tasks. */
+    fun restore(progress: JobProgress?, parts: List<ProgressPart>) {
+        if (progress != null) {
+            phase = progress.phase
+            savedPhase = progress.phase
+            endedAtMs = progress.endedAtMs
+            progress.doneOccurrences.forEach { occurrences.restoreDone(it) }
+        }
+        val rangesByStep = parts.groupBy({ it.progress.name }) { it.first..it.last }
+        for (stored in progress?.steps.orEmpty()) {
+            val inParts = rangesByStep[stored.name].orEmpty()
+            step(stored.occurrence, stored.step)?.restore(stored) { index -> inParts.any { index in it } }
+        }
+        for (part in parts) step(part.progress.occurrence, part.progress.step)?.restore(part.progress)
+        openSteps.map { it.occurrence }.distinct().filter { occurrences.isComplete(it) }
+            .forEach { occurrences.markDone(it) }
+        isStoredWithoutParts = progressRows.hasParts && progress?.steps?.isNotEmpty() ?: false
     }
 
+    private val StepProgress.name get() = StepName(id, occurrence, step)
+
     private fun criticalPaths(): LongArray {
         val description = accepted.description.steps
         val advice = terms.advice
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -1,6 +1,8 @@
 /** State of one step of a job in one occurrence of its schedule. */
 package dev.bronzeshore.scheduler
 
+import dev.bronzeshore.core.cluster.CrashRole
+import dev.bronzeshore.core.cluster.CrashedRun
 import dev.bronzeshore.core.cluster.StepDescription
 import dev.bronzeshore.core.cluster.StepName
 import dev.bronzeshore.core.cluster.StepProgress
@@ -75,34 +77,44 @@
     /** All members of a gang resume from the same checkpoint. */
     fun shareCheckpoint(checkpoint: String) = tasks.forEach { it.checkpoint = checkpoint }
 
-    fun toProgress(): StepProgress? {
-        val failures = if (description.isGang) {
-            if (failedGangRuns.isEmpty()) emptyMap() else mapOf(0 to failedGangRuns.toSet())
-        } else {
-            tasks.filter { it.failedRuns.isNotEmpty() }.associate { it.index to it.failedRuns.toSet() }
-        }
-        val crashes = tasks.filter { it.crashes.runs.isNotEmpty() }.associate { it.index to it.crashes.runs }
-        val result = StepProgress(
+    fun toProgress(): StepProgress? = progressOf(tasks.indices).takeIf { it != StepProgress(occurrence, number) }
+
+    /** The progress of the tasks with these indices. */
+    fun progressOf(indices: IntRange): StepProgress {
+        val part = tasks.subList(indices.first, indices.last + 1)
+        return StepProgress(
             occurrence = occurrence,
             step = number,
-            doneTasks = tasks.filter { it.isDone }.map { it.index },
-            failedRuns = failures,
-            checkpoints = tasks.filter { !it.isDone }.mapNotNull { task -> task.checkpoint?.let { task.index to it } }
+            doneTasks = part.filter { it.isDone }.map { it.index },
+            failedRuns = failuresOf(part),
+            checkpoints = part.filter { !it.isDone }
+                .mapNotNull { task -> storedCheckpoint(task.checkpoint)?.let { task.index to it } }
                 .toMap(),
-            crashedRuns = crashes,
+            crashedRuns = part.filter { it.crashes.runs.isNotEmpty() }.associate { it.index to storedCrashesOf(it) },
         )
-        return result.takeIf { it != StepProgress(occurrence, number) }
     }
 
-    fun restore(progress: StepProgress) {
-        for (index in progress.doneTasks) tasks.getOrNull(index)?.isDone = true
-        for ((index, checkpoint) in progress.checkpoints) tasks.getOrNull(index)?.checkpoint = checkpoint
-        for ((index, crashes) in progress.crashedRuns) crashes.forEach { tasks.getOrNull(index)?.crashes?.record(it) }
+    private fun failuresOf(part: List<TrackedTask>): Map<Int, Set<Long>> = when {
+        !description.isGang -> part.filter { it.failedRuns.isNotEmpty() }.associate { it.index to it.failedRuns.toSet() }
+        failedGangRuns.isEmpty() || part.none { it.index == 0 } -> emptyMap()
+        else -> mapOf(0 to failedGangRuns.toSet())
+    }
+
+    /** Crashes that a service task did not cause say nothing about it, and add up as long as it runs. */
+    private fun storedCrashesOf(task: TrackedTask): Set<CrashedRun> =
+        if (description.isService) task.crashes.runs.filterTo(HashSet()) { it.role != CrashRole.VICTIM } else task.crashes.runs
+
+    /** Restores the progress of the tasks whose indices [isLeftOut] does not leave out. */
+    fun restore(progress: StepProgress, isLeftOut: (index: Int) -> Boolean = { false }) {
+        fun taskAt(index: Int) = tasks.getOrNull(index)?.takeUnless { isLeftOut(index) }
+        for (index in progress.doneTasks) taskAt(index)?.isDone = true
+        for ((index, checkpoint) in progress.checkpoints) taskAt(index)?.checkpoint = checkpoint
+        for ((index, crashes) in progress.crashedRuns) crashes.forEach { taskAt(index)?.crashes?.record(it) }
         if (description.isService) return
         if (description.isGang) {
-            failedGangRuns += progress.failedRuns[0].orEmpty()
+            if (!isLeftOut(0)) failedGangRuns += progress.failedRuns[0].orEmpty()
         } else {
-            for ((index, runs) in progress.failedRuns) tasks.getOrNull(index)?.failedRuns?.addAll(runs)
+            for ((index, runs) in progress.failedRuns) taskAt(index)?.failedRuns?.addAll(runs)
         }
     }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnsavedChanges.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnsavedChanges.kt
@@ -17,6 +17,9 @@
     private val dirty = LinkedHashMap<UnsavedRow, Long>()
     private var lastChange = 0L
 
+    /** The rows of the last batch, until it is stored or put back. */
+    private var inFlight: List<UnsavedRow> = emptyList()
+
     val isEmpty: Boolean get() = dirty.isEmpty()
 
     /** Records that [row] has changed; returns the number of the change. */
@@ -26,6 +29,12 @@
         return lastChange
     }
 
+    /** True if [row] has no change that is not stored. */
+    fun isSaved(row: UnsavedRow): Boolean = row !in dirty && row !in inFlight
+
+    /** True if all rows of the job are stored as they are. */
+    fun areSaved(jobId: String): Boolean = dirty.keys.none { it.jobId == jobId } && inFlight.none { it.jobId == jobId }
+
     /** Number of the last change; an end that changes nothing is saved along with it. */
     fun lastNumber(): Long = lastChange
 
@@ -40,12 +49,19 @@
             writes += write
         }
         rows.forEach { dirty.remove(it) }
+        inFlight = rows
         val savedUpTo = dirty.values.firstOrNull()?.let { it - 1 } ?: lastChange
         return ChangeBatch(rows, writes, savedUpTo)
     }
 
+    /** The last batch is stored. */
+    fun recordSaved() {
+        inFlight = emptyList()
+    }
+
     /** Puts a batch that was not stored back at the head of the queue. */
     fun requeue(batch: ChangeBatch) {
+        inFlight = emptyList()
         val later = LinkedHashMap(dirty)
         dirty.clear()
         batch.rows.forEach { dirty[it] = 0 }
