Write the other rows beside one that the store refuses

The roster, the counts of waiting jobs and the progress of all jobs shared its fate.

Evidence: RefusedRowTest with a store that does not say that it refuses the content, which is the code before: 4 of 12 cases fail (progress, a part, all parts, roster).

Change: a transaction that is refused for its content is halved until one row is left, which is left out for 30 s or until it is smaller, logged once and counted. Ends of runs of its job are not acknowledged.

--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Store.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Store.kt
@@ -38,7 +38,11 @@
     public class Conflict(public val rows: List<StoredRow>) : StoreOutcome
 
     /** The store rejected the call or could not be reached; nothing was written. */
-    public data class NotApplied(public val reason: String) : StoreOutcome
+    public data class NotApplied(
+        public val reason: String,
+        /** The store refused what the transaction holds, and will refuse it again. */
+        public val isContentRefused: Boolean = false,
+    ) : StoreOutcome
 
     /** No response: the transaction may have been applied, or may be applied later. */
     public data class Unknown(public val reason: String) : StoreOutcome
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -3,7 +3,8 @@
  *
  * A run's end is acknowledged to its worker, and a job is shown as ended, only after its row is stored. A write whose
  * response was lost may take effect seconds later. Therefore each write requires the [JournalFence], so that an older
- * write cannot overwrite the rows of a newer one.
+ * write cannot overwrite the rows of a newer one. A row that the store refuses for what it holds is left out, so that
+ * the others are stored; ends of runs of its job stay unacknowledged.
  */
 package dev.bronzeshore.scheduler
 
@@ -41,6 +42,7 @@
     private var speedsAtMs = context.clock()
     private val rosterRows = RosterRows()
     private val fence = JournalFence()
+    private val refusals = RowRefusals { reportRefused(it) }
 
     /** Monotonic time since which a write is attempted without success; null if none is. */
     var unconfirmedSinceMs: Long? = null
@@ -66,23 +68,22 @@
 
     /** Stores the next batch of changes; false if it has to be repeated after a pause. */
     suspend fun flush(): Boolean {
-        val counts = dueCounts()
+        if (refusals.expire(context.clock())) context.changes.retryHeld()
         val size = TransactionSize(RESERVED_ENTRIES)
-        val roster = changedRoster().filter { size.add(it.toWrite()) }
+        val roster = changedRoster()
+            .filter { row -> row.toWrite().let { refusals.mayWrite(it) && size.add(it) } }
+            .take(refusals.maxRows)
+        var roomLeft = refusals.maxRows - roster.size
+        val counts = dueCounts()?.takeIf { refusals.mayWrite(waitingRow(it)) && roomLeft-- > 0 }
         val hasRows = !context.changes.isEmpty || counts != null || roster.isNotEmpty()
         if (!hasRows && !context.confirmation.isWanted) return true
-        val batch = context.changes.takeBatch(size)
+        val batch = context.changes.takeBatch(size, maxOf(0, roomLeft), refusals::mayWrite)
+        val speeds = dueSpeeds()?.takeIf { refusals.mayWrite(it) && batch.rows.size < roomLeft }
         val heartbeat = context.renewal.dueHeartbeat()
         val fenceChange = fence.dueChange
+        val ownWrites = batch.writes + roster.map { it.toWrite() } + listOfNotNull(counts?.let { waitingRow(it) }, speeds)
         val writes =
-            batch.writes + roster.map { it.toWrite() } +
-                listOfNotNull(
-                    counts?.let { waitingRow(it) },
-                    heartbeat,
-                    fenceChange,
-                    dueSpeeds(),
-                    RowWrite(Tables.JOURNAL_ROW, ByteArray(0)),
-                )
+            ownWrites + listOfNotNull(heartbeat, fenceChange, RowWrite(Tables.JOURNAL_ROW, ByteArray(0)))
         val phases = batch.jobs.associateWith { it.phase }
         val startedAtMs = context.clock()
         if (unconfirmedSinceMs == null) unconfirmedSinceMs = startedAtMs
@@ -92,6 +93,7 @@
         fence.record(outcome, fenceChange)
         if (outcome is StoreOutcome.Applied) {
             recordConfirmation(startedAtMs)
+            refusals.recordApplied()
             if (heartbeat != null) context.renewal.recordRenewal(startedAtMs)
             markBatchSaved(batch, phases, counts, roster)
             return true
@@ -100,7 +102,24 @@
         // The store may hold the new roster: it is written again before tasks start on the strength of the older one.
         if (outcome is StoreOutcome.Unknown) rosterRows.recordUnknown(roster)
         context.log.event("journal_failed", "rows" to batch.rows.size, "outcome" to outcome::class.simpleName)
-        return outcome is StoreOutcome.Conflict && handleConflict(outcome)
+        return when (outcome) {
+            is StoreOutcome.Conflict -> handleConflict(outcome)
+
+            is StoreOutcome.NotApplied ->
+                (outcome.isContentRefused && refusals.record(ownWrites, context.clock())).also { if (it) wake() }
+
+            else -> false
+        }
+    }
+
+    private fun reportRefused(row: RowWrite) {
+        context.metrics.rowRefused(row.id.table)
+        context.log.event(
+            "row_refused",
+            "table" to row.id.table,
+            "key" to row.id.key,
+            "bytes" to row.value.size,
+        )
     }
 
     private fun waitingRow(counts: Map<String, Int>) =
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -27,5 +27,7 @@
     public val unexpectedError: (work: String) -> Unit = {},
     /** A stored row, or a part of a worker's report, could not be decoded. */
     public val malformedInput: (kind: String) -> Unit = {},
+    /** The store does not take a row of a table for what it holds. */
+    public val rowRefused: (table: String) -> Unit = {},
     public val invariantBroken: () -> Unit = {},
 )
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -227,9 +227,14 @@
         !entry.isDraining &&
         quarantinedUntilMs <= nowMs
 
-    /** Advances [acknowledgedEnd] over the ends whose changes are stored, which are those up to [savedChangeNumber]. */
-    fun acknowledge(savedChangeNumber: Long) {
-        while (unsavedEnds.isNotEmpty() && unsavedEnds.first().changeNumber <= savedChangeNumber) {
+    /**
+     * Advances [acknowledgedEnd] over the ends whose changes are stored: those up to [savedChangeNumber], unless a row of
+     * their job [isHeld] back.
+     */
+    fun acknowledge(savedChangeNumber: Long, isHeld: (jobId: String) -> Boolean) {
+        while (unsavedEnds.isNotEmpty()) {
+            val next = unsavedEnds.first()
+            if (next.changeNumber > savedChangeNumber || isHeld(next.jobId)) return
             acknowledgedEnd = unsavedEnds.removeFirst().number
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnsavedChanges.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnsavedChanges.kt
@@ -17,6 +17,9 @@
     private val dirty = LinkedHashMap<UnsavedRow, Long>()
     private var lastChange = 0L
 
+    /** Rows that the store does not take, until a later form of them is stored. */
+    private val held = LinkedHashSet<UnsavedRow>()
+
     /** The rows of the last batch, until it is stored or put back. */
     private var inFlight: List<UnsavedRow> = emptyList()
 
@@ -30,25 +33,39 @@
     }
 
     /** True if [row] has no change that is not stored. */
-    fun isSaved(row: UnsavedRow): Boolean = row !in dirty && row !in inFlight
+    fun isSaved(row: UnsavedRow): Boolean = row !in dirty && row !in inFlight && row !in held
 
     /** True if all rows of the job are stored as they are. */
-    fun areSaved(jobId: String): Boolean = dirty.keys.none { it.jobId == jobId } && inFlight.none { it.jobId == jobId }
+    fun areSaved(jobId: String): Boolean = (dirty.keys + inFlight + held).none { it.jobId == jobId }
 
     /** Number of the last change; an end that changes nothing is saved along with it. */
     fun lastNumber(): Long = lastChange
 
-    /** Removes and returns the next rows, as many as [size] has room for; a row that changes later is added again. */
-    fun takeBatch(size: TransactionSize): ChangeBatch {
+    /**
+     * Removes and returns the next rows, as many as [size] has room for and at most [maxRows]; a row that changes later
+     * is added again. Rows for which [mayWrite] does not hold are left out and hold up no others.
+     */
+    fun takeBatch(
+        size: TransactionSize,
+        maxRows: Int = Int.MAX_VALUE,
+        mayWrite: (RowWrite) -> Boolean = { true },
+    ): ChangeBatch {
         val rows = ArrayList<UnsavedRow>()
         val writes = ArrayList<RowWrite>()
+        val leftOut = ArrayList<UnsavedRow>()
         for (row in dirty.keys) {
+            if (rows.size >= maxRows) break
             val write = row.toWrite()
+            if (!mayWrite(write)) {
+                leftOut += row
+                continue
+            }
             if (!size.add(write)) break
             rows += row
             writes += write
         }
-        rows.forEach { dirty.remove(it) }
+        (rows + leftOut).forEach { dirty.remove(it) }
+        held += leftOut
         inFlight = rows
         val savedUpTo = dirty.values.firstOrNull()?.let { it - 1 } ?: lastChange
         return ChangeBatch(rows, writes, savedUpTo)
@@ -56,9 +73,16 @@
 
     /** The last batch is stored. */
     fun recordSaved() {
+        held -= inFlight.toSet()
         inFlight = emptyList()
     }
 
+    /** True if a row of the job is left out, so that ends of its runs must not be acknowledged. */
+    fun isHeld(jobId: String): Boolean = held.any { it.jobId == jobId }
+
+    /** Adds the rows that were left out again. */
+    fun retryHeld() = held.forEach { add(it) }
+
     /** Puts a batch that was not stored back at the head of the queue. */
     fun requeue(batch: ChangeBatch) {
         inFlight = emptyList()
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -106,7 +106,7 @@
     }
 
     private fun holdRequestAt(now: Long): HoldRequest {
-        worker.acknowledge(context.savedChangeNumber)
+        worker.acknowledge(context.savedChangeNumber, context.changes::isHeld)
         // A poll of an unreachable worker grants no lease: otherwise the leases of a lost worker would never expire.
         val isGranted = worker.clock.isKnown && worker.isReachable && context.authority.mayGrantLeases()
         val leaseUntil = if (isGranted) worker.clock.nowOnWorker(now) + context.bounds.maxLeaseMs else null
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -40,6 +40,7 @@
     private val unexpectedErrors =
         counter("bronzeshore_unexpected_errors_total", "Pieces of work that an unexpected error ended.", "work")
     private val malformed = counter("bronzeshore_malformed_total", "Input that could not be decoded.", "input")
+    private val refusedRows = counter("bronzeshore_refused_rows_total", "Rows that the store does not take.", "table")
     private val planningRounds = histogram("bronzeshore_planning_round_seconds", "Time of a planning round.")
     private val jobs =
         histogram("bronzeshore_job_seconds", "Time from acceptance to the end of a job.", "queue", "phase")
@@ -82,6 +83,7 @@
         planningRound = { planningRounds.observe(it / MS_PER_SECOND) },
         unexpectedError = { unexpectedErrors.labelValues(it).inc() },
         malformedInput = { malformed.labelValues(it).inc() },
+        rowRefused = { refusedRows.labelValues(it).inc() },
         invariantBroken = { invariantViolations.inc() },
     )
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreFaults.kt
@@ -1,6 +1,8 @@
 /** Faults of the in-memory store, which tests change while it runs. */
 package dev.bronzeshore.standins.cluster
 
+import dev.bronzeshore.core.cluster.RowId
+
 public class StoreFaults {
     /** Makes the store refuse all calls. */
     public var isDown: Boolean = false
@@ -32,6 +34,9 @@
     /** Answers to transactions name the newest version of the store, which later transactions may have raised. */
     public var answersNewestVersion: Boolean = false
 
+    /** Rows that the store does not take, whatever they hold. */
+    public var isRowRefused: (RowId) -> Boolean = { false }
+
     /** Transactions with a longer value are refused. */
     public var maxValueBytes: Int = Int.MAX_VALUE
 
