Start nothing on a restarted worker before its own entry has come

Cause: the entry of the new incarnation was a copy of the former one until the directory told better, and tasks were placed by its labels and capacity as soon as the worker had answered a poll.

Change: an incarnation that is known only from its answers or from the stored roster has neither labels nor capacity, and takes no task until the directory describes it.

A sound worker stays unused for about one heartbeat after a restart.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -36,6 +36,18 @@
     var hasFurtherEnds: Boolean = false
     var isListed: Boolean = true
 
+    /**
+     * The directory has told the labels and the capacity of this incarnation; another one with the same id may be of
+     * another kind.
+     */
+    var isDescribed: Boolean = true
+        private set
+
+    /** The incarnation is known only from its answers, or from the stored roster. */
+    fun markUndescribed() {
+        isDescribed = false
+    }
+
     /** The last entry was written after this; null if that is not known. */
     var entryWrittenAfter: FeedTime? = null
 
@@ -171,6 +183,7 @@
         if (listed.isDraining && hasReportedAll && jobsWhenDraining == null) jobsWhenDraining = placedJobs()
         if (entry.isDraining && !listed.isDraining) isOnRoster = false
         entry = listed
+        isDescribed = true
     }
 
     /** Jobs whose tasks may be running here, or have ended here without a stored end. */
@@ -220,6 +233,7 @@
 
     fun accepts(nowMs: Long): Boolean = isContacted &&
         isListed &&
+        isDescribed &&
         isReachable &&
         isOnRoster &&
         !isGone &&
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerPool.kt
@@ -51,7 +51,7 @@
 
     /** Capacity of all workers that have answered and are not about to leave; any other entry may name no worker. */
     val capacity: Resources
-        get() = byIncarnation.values.filter { it.isContacted && it.isListed && !it.entry.isDraining }
+        get() = byIncarnation.values.filter { it.isContacted && it.isListed && it.isDescribed && !it.entry.isDraining }
             .fold(Resources.NONE) { sum, worker -> sum + worker.entry.capacity }
 
     /** Workers of a service that take new tasks now. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -117,6 +117,7 @@
         )
         add(entry).apply {
             isListed = false
+            markUndescribed()
             formerTrialJob = worker.trialJob
             formerWorkers[this] = worker.heldJobs
         }
@@ -228,11 +229,23 @@
     private fun handleSuccessor(worker: TrackedWorker, startedAtMs: Long?) {
         if (worker.isGone) return
         if (startedAtMs == null) return markGone(worker, "another worker answers at its address")
-        val entry = worker.entry.copy(incarnation = WorkerIncarnation(worker.id, startedAtMs), isDraining = false)
-        val successor = context.workerPool.find(entry.incarnation) ?: add(entry)
+        val incarnation = WorkerIncarnation(worker.id, startedAtMs)
+        val successor = context.workerPool.find(incarnation) ?: addUndescribed(worker.entry, incarnation)
         replace(worker, successor, "the worker reported a later start time")
     }
 
+    /** Adds the next [incarnation] of a worker, of which nothing starts a task before its own entry has come. */
+    private fun addUndescribed(former: WorkerEntry, incarnation: WorkerIncarnation): TrackedWorker {
+        val entry = former.copy(
+            incarnation = incarnation,
+            isDraining = false,
+            capacity = Resources.NONE,
+            labels = emptySet(),
+            remainingMs = null,
+        )
+        return add(entry).apply { markUndescribed() }
+    }
+
     /**
      * [former] has ended, and [successor] has its id. Requests name a worker by its id alone, so [successor] may have
      * carried out starts for [former], those of this leader and those of former leaders: these runs are not lost.
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -77,7 +77,7 @@
     private val accepted = LinkedHashMap<String, AcceptedJob>()
     val workers = WorkersStandIn(random, scope.backgroundScope, ::nowMs, SERVICE, WORKER_CAPACITY) { name ->
         val step = accepted.getValue(name.jobId).description.steps[name.step]
-        TaskModel(step.size, step.estimateMs, accepted.getValue(name.jobId).account)
+        TaskModel(step.size, step.estimateMs, accepted.getValue(name.jobId).account, step.requiredLabel)
     }
     private val entries = HashMap<String, WorkerEntry>()
 
@@ -130,6 +130,9 @@
 
     fun unlist(workerId: String) = register(WorkerChange(workerId, null))
 
+    /** What the directory says of a worker. */
+    fun entryOf(workerId: String): WorkerEntry = entries.values.last { it.incarnation.workerId == workerId }
+
     /** Writes a row of the worker table as another program would; the platform's decoder reads it. */
     fun putEntry(workerId: String, text: String) = store.put(RowId(WORKER_TABLE, "", workerId), text.toByteArray())
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
@@ -13,6 +13,8 @@
     public val durationMs: Long,
     /** Client account of the task's job, or null. */
     public val account: String? = null,
+    /** Label without which a worker must not run the task, or null. */
+    public val requiredLabel: String? = null,
 )
 
 public class RunInvariantChecker {
@@ -52,7 +54,7 @@
     /** Number of the job's runs on all workers now. */
     public fun runningOf(jobId: String): Int = runningOn.filterKeys { it.jobId == jobId }.values.sumOf { it.size }
 
-    internal fun recordStart(run: TaskRun, workerId: String, task: TaskModel) {
+    internal fun recordStart(run: TaskRun, workerId: String, task: TaskModel, labels: Set<String> = emptySet()) {
         starts++
         modelOf[run] = task
         val others = runningOn.getOrPut(run.task) { HashSet() }
@@ -60,6 +62,8 @@
         if (run.task in acknowledgedDone) violations += "duplicate run: $run on $workerId after an acknowledged end"
         doneRuns[run.task].orEmpty().forEach { repeatedRuns.putIfAbsent(it, "$run on $workerId") }
         others += run to workerId
+        val label = task.requiredLabel
+        if (label != null && label !in labels) violations += "wrong kind: $run on $workerId, which lacks $label"
         checkAccount(task.account)
         if ((crashesBy[run.task] ?: 0) < MAX_CRASHES_BY_A_TASK) return
         val starts = startsAfterThirdCrash.merge(run.task, 1, Int::plus) ?: 0
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerModel.kt
@@ -58,7 +58,7 @@
         if (refusal != null) return StartAnswer(refusal, nowMs())
         leaseUntilMs = maxOf(leaseUntilMs, minOf(request.validUntilWorkerMs, nowMs() + MAX_LEASE_MS))
         if (running[request.run.task]?.run == request.run) return StartAnswer(StartResult.STARTED, nowMs())
-        checker.recordStart(request.run, id, task)
+        checker.recordStart(request.run, id, task, entry.labels)
         running[request.run.task] = RunningTaskModel(request.run, task.demand, nowMs(), task.durationMs)
         checker.checkCapacity(id, running.values.map { it.demand }, entry.capacity)
         return StartAnswer(StartResult.STARTED, nowMs())
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -97,11 +97,15 @@
         if (isRefusing) faults.refusing += workerId
     }
 
-    /** Ends the incarnation of a worker and starts the next one, unannounced, under the same id and address at once. */
-    public fun restart(workerId: String) {
+    /**
+     * Ends the incarnation of a worker and starts the next one, unannounced, under the same id and address at once;
+     * [change] makes it one of another kind.
+     */
+    public fun restart(workerId: String, change: (WorkerEntry) -> WorkerEntry = { it }) {
         val address = workers.getValue(workerId).entry.address
         crash(workerId)
         start(workerId, address)
+        workers.getValue(workerId).let { it.entry = change(it.entry) }
     }
 
     /** Ends the incarnation of a worker; another one with a new id takes its address later. */
