--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/JobProgress.kt
@@ -48,7 +48,7 @@
     public val doneOccurrences: List<OccurrenceRange> = emptyList(),
 )
 
-/** Progress of the tasks [first] to [last] of a step, in a row of its own; it replaces what the job's row says of them. */
+/** Progress of the tasks [first] to [last] of a step; it replaces what the job's own row says of them. */
 @Serializable
 public data class ProgressPart(public val first: Int, public val last: Int, public val progress: StepProgress)
 
--- a/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
+++ b/core/src/main/kotlin/dev/bronzeshore/core/cluster/Tables.kt
@@ -57,7 +57,6 @@
 
     /** Sorts after every key that begins with a job id and ends with a printable character. */
     private const val LAST_CHARACTER = "~"
-    private const val PART_INFIX = ".part."
     private const val CANCEL_SUFFIX = ".cancel"
 
     public fun intakePartitionOf(jobId: String): String =
@@ -84,18 +83,6 @@
 
     public fun progressRow(jobId: String): RowId = RowId(PROGRESS, LEADER_PARTITION, jobId)
 
-    /** The row with the progress of some tasks of a step, the [first] of them by index. */
-    public fun progressPartRow(jobId: String, occurrence: Int, step: Int, first: Int): RowId =
-        RowId(PROGRESS, LEADER_PARTITION, "$jobId$PART_INFIX$occurrence.$step.$first")
-
-    /** The job of a row with the progress of some tasks, or null for other rows. */
-    public fun jobOfProgressPart(key: String): String? =
-        key.substringBefore(PART_INFIX, missingDelimiterValue = "").ifEmpty { null }
-
-    /** The range of a job's progress row alone, without the rows for parts of its tasks. */
-    public fun progressRange(jobId: String): RowRangeQuery =
-        RowRangeQuery(PROGRESS, LEADER_PARTITION, jobId, jobId + PART_INFIX)
-
     /** The range of exactly the rows of [jobId] in a table whose keys start with job ids. */
     public fun rowsOfJob(table: String, partition: String, jobId: String): RowRangeQuery =
         RowRangeQuery(table, partition, jobId, jobId + LAST_CHARACTER)
--- a/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
+++ b/intake/src/main/kotlin/dev/bronzeshore/intake/StoreJobOperations.kt
@@ -10,6 +10,7 @@
 import dev.bronzeshore.core.cluster.JobOperations
 import dev.bronzeshore.core.cluster.JobPhase
 import dev.bronzeshore.core.cluster.JobProgress
+import dev.bronzeshore.core.cluster.ProgressPartRows
 import dev.bronzeshore.core.cluster.RowRangeQuery
 import dev.bronzeshore.core.cluster.RowWrite
 import dev.bronzeshore.core.cluster.StateAnswer
@@ -84,7 +85,7 @@
     }
 
     private suspend fun progressOf(jobId: String): StateAnswer {
-        val rows = readRows(jobId, Tables.progressRange(jobId)) ?: return StateAnswer.Unavailable
+        val rows = readRows(jobId, ProgressPartRows.rangeWithout(jobId)) ?: return StateAnswer.Unavailable
         val value = rows.firstOrNull { it.id.key == jobId }?.value ?: return StateAnswer.NoSuchJob
         return decodeState(jobId, value)
     }
@@ -101,14 +102,13 @@
     private suspend fun readJobRows(table: String, partition: String, jobId: String): List<StoredRow>? =
         readRows(jobId, Tables.rowsOfJob(table, partition, jobId))
 
-    private suspend fun readRows(jobId: String, query: RowRangeQuery): List<StoredRow>? =
-        store.readPage(query).fold(
-            ifLeft = { failure ->
-                log.event("state_unavailable", "job" to jobId, "cause" to failure)
-                null
-            },
-            ifRight = { it.rows },
-        )
+    private suspend fun readRows(jobId: String, query: RowRangeQuery): List<StoredRow>? = store.readPage(query).fold(
+        ifLeft = { failure ->
+            log.event("state_unavailable", "job" to jobId, "cause" to failure)
+            null
+        },
+        ifRight = { it.rows },
+    )
 
     /** Stores the cancellation of an unknown job too, because its submission may still be in flight to the store. */
     suspend fun cancel(jobId: String): Boolean {
--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/WorkerVotes.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/WorkerVotes.kt
@@ -18,7 +18,11 @@
     fun record(worker: WorkerIncarnation, sentAtMs: Long) {
         val last = lastAnswers[worker.workerId]
         val isOlder = last != null &&
-            (last.startedAtMs > worker.startedAtMs || last.startedAtMs == worker.startedAtMs && last.sentAtMs >= sentAtMs)
+            (
+                last.startedAtMs > worker.startedAtMs ||
+                    last.startedAtMs == worker.startedAtMs &&
+                    last.sentAtMs >= sentAtMs
+                )
         if (!isOlder) lastAnswers[worker.workerId] = Answer(worker.startedAtMs, sentAtMs)
     }
 
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
@@ -4,9 +4,9 @@
  * There is no state of the network: each call between two parties may go through or not, at each moment, so that each
  * cut and outage is among the histories. What a later answer could do, the same answer at once could do too; but a
  * write of the voters may apply later, a vote is counted against the voters of a later moment, and a leader is held up
- * between its decision to grant a lease and the request. One worker with a lease is enough: workers do not influence each
- * other, and a task runs twice only if a lease lives on at its former worker. Another worker votes; what matters of
- * several is that two majorities have one in common.
+ * between its decision to grant a lease and the request. One worker with a lease is enough: workers do not influence
+ * each other, and a task runs twice only if a lease lives on at its former worker. Another worker votes; what matters
+ * of several is that two majorities have one in common.
  */
 package dev.bronzeshore.leadership
 
@@ -112,6 +112,11 @@
         grant(state, process)?.let { step.to(it, "grants a lease", process, -1) }
         if (mayGrant(state, process)) requests.send(state, process, step)
         readFormer(state, process)?.let { step.to(it, "reads the former voters", process, -1) }
+        expandVotes(state, process, step)
+        voters.expand(state, process, step)
+    }
+
+    private fun expandVotes(state: LeaseState, process: Int, step: Step) {
         askForVotes(state, process)?.let { step.to(it, "asks for votes", process, -1) }
         count(state, process)?.let { step.to(it, "counts its votes again", process, -1) }
         pollWorker(state, process)?.let { step.to(it, "is answered by the voting worker", process, -1) }
@@ -120,7 +125,6 @@
             vote(state, process, other)?.let { step.to(it, "has the vote of", process, other) }
             revoke(state, process, other)?.let { step.to(it, "has the promise of", process, other) }
         }
-        voters.expand(state, process, step)
     }
 
     fun afterTime(state: LeaseState): LeaseState = state.copy().apply {
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseState.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseState.kt
@@ -1,7 +1,8 @@
 /**
  * A state of the lease model, packed into bytes so that hundreds of thousands of them fit in memory.
  *
- * Sets of processes are bit masks; in a set of voters the bit after those of the processes stands for a worker. Times are ages in units of the model, clamped where a longer one changes nothing.
+ * Sets of processes are bit masks; in a set of voters the bit after those of the processes stands for a worker. Times
+ * are ages in units of the model, clamped where a longer one changes nothing.
  */
 package dev.bronzeshore.leadership
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/KeptEndsOfJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/KeptEndsOfJob.kt
@@ -16,7 +16,11 @@
 
     /** Adds an end; returns the row that has changed. */
     fun add(end: KeptEnd): UnsavedRow {
-        if (written.lastOrNull()?.isFull != false) written += KeptEndsRow(KeptEndRows.row(jobId, term, written.size), jobId)
+        if (written.lastOrNull()?.isFull !=
+            false
+        ) {
+            written += KeptEndsRow(KeptEndRows.row(jobId, term, written.size), jobId)
+        }
         return written.last().also { it.add(end) }
     }
 
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressJournal.kt
@@ -69,51 +69,66 @@
     /** Stores the next batch of changes; false if it has to be repeated after a pause. */
     suspend fun flush(): Boolean {
         if (refusals.expire(context.clock())) context.changes.retryHeld()
+        return nextBatch()?.let { store(it) } ?: true
+    }
+
+    /** Takes what is to be written next; null if nothing is. */
+    private fun nextBatch(): JournalBatch? {
         val size = TransactionSize(RESERVED_ENTRIES)
         val roster = changedRoster()
             .filter { row -> row.toWrite().let { refusals.mayWrite(it) && size.add(it) } }
             .take(refusals.maxRows)
-        var roomLeft = refusals.maxRows - roster.size
-        val counts = dueCounts()?.takeIf { refusals.mayWrite(waitingRow(it)) && roomLeft-- > 0 }
+        val roomLeft = refusals.maxRows - roster.size
+        val counts = dueCounts()?.takeIf { roomLeft > 0 && refusals.mayWrite(waitingRow(it)) }
         val hasRows = !context.changes.isEmpty || counts != null || roster.isNotEmpty()
-        if (!hasRows && !context.confirmation.isWanted) return true
-        val batch = context.changes.takeBatch(size, maxOf(0, roomLeft), refusals::mayWrite)
-        val speeds = dueSpeeds()?.takeIf { refusals.mayWrite(it) && batch.rows.size < roomLeft }
+        if (!hasRows && !context.confirmation.isWanted) return null
+        val maxChanges = if (counts == null) roomLeft else roomLeft - 1
+        val changes = context.changes.takeBatch(size, maxChanges, refusals::mayWrite)
+        val speeds = dueSpeeds()?.takeIf { changes.rows.size < maxChanges && refusals.mayWrite(it) }
+        val others = roster.map { it.toWrite() } + listOfNotNull(counts?.let { waitingRow(it) }, speeds)
+        return JournalBatch(changes, roster, counts, changes.writes + others)
+    }
+
+    private suspend fun store(batch: JournalBatch): Boolean {
         val heartbeat = context.renewal.dueHeartbeat()
         val fenceChange = fence.dueChange
-        val ownWrites = batch.writes + roster.map { it.toWrite() } + listOfNotNull(counts?.let { waitingRow(it) }, speeds)
-        val writes =
-            ownWrites + listOfNotNull(heartbeat, fenceChange, RowWrite(Tables.JOURNAL_ROW, ByteArray(0)))
-        val phases = batch.jobs.associateWith { it.phase }
+        val writes = batch.writes + listOfNotNull(heartbeat, fenceChange, RowWrite(Tables.JOURNAL_ROW, ByteArray(0)))
+        val phases = batch.changes.jobs.associateWith { it.phase }
         val startedAtMs = context.clock()
         if (unconfirmedSinceMs == null) unconfirmedSinceMs = startedAtMs
         val conditions = listOf(RowCondition(Tables.TERM_ROW, context.termRowVersion), fence.condition)
         val outcome = context.store.transact(StoreTransaction(conditions = conditions, writes = writes))
-        context.metrics.journalWrite(outcome::class.simpleName.orEmpty(), context.clock() - startedAtMs)
+        context.metrics.journal.write(outcome::class.simpleName.orEmpty(), context.clock() - startedAtMs)
         fence.record(outcome, fenceChange)
-        if (outcome is StoreOutcome.Applied) {
-            recordConfirmation(startedAtMs)
-            refusals.recordApplied()
-            if (heartbeat != null) context.renewal.recordRenewal(startedAtMs)
-            markBatchSaved(batch, phases, counts, roster)
-            return true
-        }
-        context.changes.requeue(batch)
+        if (outcome !is StoreOutcome.Applied) return handleFailure(batch, outcome)
+        recordConfirmation(startedAtMs)
+        refusals.recordApplied()
+        if (heartbeat != null) context.renewal.recordRenewal(startedAtMs)
+        markBatchSaved(batch, phases)
+        return true
+    }
+
+    /** Puts the batch back; true if it may be repeated at once. */
+    private suspend fun handleFailure(batch: JournalBatch, outcome: StoreOutcome): Boolean {
+        context.changes.requeue(batch.changes)
         // The store may hold the new roster: it is written again before tasks start on the strength of the older one.
-        if (outcome is StoreOutcome.Unknown) rosterRows.recordUnknown(roster)
-        context.log.event("journal_failed", "rows" to batch.rows.size, "outcome" to outcome::class.simpleName)
+        if (outcome is StoreOutcome.Unknown) rosterRows.recordUnknown(batch.roster)
+        context.log.event("journal_failed", "rows" to batch.changes.rows.size, "outcome" to outcome::class.simpleName)
         return when (outcome) {
             is StoreOutcome.Conflict -> handleConflict(outcome)
-
-            is StoreOutcome.NotApplied ->
-                (outcome.isContentRefused && refusals.record(ownWrites, context.clock())).also { if (it) wake() }
-
+            is StoreOutcome.NotApplied -> outcome.isContentRefused && handleRefusal(batch)
             else -> false
         }
     }
 
+    private fun handleRefusal(batch: JournalBatch): Boolean {
+        val canDoBetter = refusals.record(batch.writes, context.clock())
+        if (canDoBetter) wake()
+        return canDoBetter
+    }
+
     private fun reportRefused(row: RowWrite) {
-        context.metrics.rowRefused(row.id.table)
+        context.metrics.journal.rowRefused(row.id.table)
         context.log.event(
             "row_refused",
             "table" to row.id.table,
@@ -146,24 +161,19 @@
         return true
     }
 
-    private fun markBatchSaved(
-        batch: ChangeBatch,
-        phases: Map<TrackedJob, JobPhase>,
-        counts: Map<String, Int>?,
-        roster: List<RosterRow>,
-    ) {
+    private fun markBatchSaved(batch: JournalBatch, phases: Map<TrackedJob, JobPhase>) {
         context.changes.recordSaved()
-        context.savedChangeNumber = maxOf(context.savedChangeNumber, batch.savedUpTo)
+        context.savedChangeNumber = maxOf(context.savedChangeNumber, batch.changes.savedUpTo)
         phases.forEach { (job, phase) -> job.noteSaved(phase) }
-        counts?.let {
+        batch.counts?.let {
             savedCounts = it
             countsAtMs = context.clock()
         }
-        if (roster.isNotEmpty()) {
-            rosterRows.recordSaved(roster)
+        if (batch.roster.isNotEmpty()) {
+            rosterRows.recordSaved(batch.roster)
             updateRosterFlags()
         }
-        if (!context.changes.isEmpty || roster.isNotEmpty()) wake()
+        if (!context.changes.isEmpty || batch.roster.isNotEmpty()) wake()
     }
 
     /** Learned worker speeds are stored along with other rows, so that a later leader need not learn them anew. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressPartRow.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/ProgressPartRow.kt
@@ -2,14 +2,14 @@
 package dev.bronzeshore.scheduler
 
 import dev.bronzeshore.core.cluster.ProgressPart
+import dev.bronzeshore.core.cluster.ProgressPartRows
 import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.RowWrite
-import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.encodeRow
 
 internal class ProgressPartRow(private val step: TrackedStep, private val tasks: IntRange) : UnsavedRow {
     val occurrence: Int get() = step.occurrence
-    val id: RowId = Tables.progressPartRow(step.job.id, step.occurrence, step.number, tasks.first)
+    val id: RowId = ProgressPartRows.row(step.job.id, step.occurrence, step.number, tasks.first)
     override val jobId: String get() = step.job.id
 
     override fun toWrite(): RowWrite {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -13,6 +13,7 @@
 import dev.bronzeshore.core.cluster.KeptEndRows
 import dev.bronzeshore.core.cluster.KeptEnds
 import dev.bronzeshore.core.cluster.ProgressPart
+import dev.bronzeshore.core.cluster.ProgressPartRows
 import dev.bronzeshore.core.cluster.RosterWorker
 import dev.bronzeshore.core.cluster.StoredRow
 import dev.bronzeshore.core.cluster.Tables
@@ -93,7 +94,7 @@
 
     /** A job whose progress cannot be decoded is set aside: to start it anew could repeat what has run. */
     private fun restoreProgress(row: StoredRow) {
-        Tables.jobOfProgressPart(row.id.key)?.let { return restorePart(row, it) }
+        ProgressPartRows.jobOf(row.id.key)?.let { return restorePart(row, it) }
         val stored = row.decoded(JobProgress.serializer()) ?: return context.jobRegistry.setAside(row.id.key)
         if (stored.phase.isEnded) {
             context.jobRegistry.recordEnded(row.id.key, stored.endedAtMs ?: context.wallClock())
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -13,12 +13,19 @@
     public val duplicateRun: () -> Unit = {},
 )
 
+/** What the progress journal counts. */
+public class JournalMetrics(
+    public val write: (outcome: String, durationMs: Long) -> Unit = { _, _ -> },
+    /** The store does not take a row of a table for what it holds. */
+    public val rowRefused: (table: String) -> Unit = {},
+)
+
 public class SchedulerMetrics(
     public val start: (result: String) -> Unit = {},
     public val end: (kind: String) -> Unit = {},
     public val losses: LossMetrics = LossMetrics(),
     public val workerPoll: () -> Unit = {},
-    public val journalWrite: (outcome: String, durationMs: Long) -> Unit = { _, _ -> },
+    public val journal: JournalMetrics = JournalMetrics(),
     /** Time from acceptance to the end of a job, by queue and phase. */
     public val jobEnded: (queue: String, phase: String, durationMs: Long) -> Unit = { _, _, _ -> },
     public val advice: (outcome: String) -> Unit = {},
@@ -27,7 +34,5 @@
     public val unexpectedError: (work: String) -> Unit = {},
     /** A stored row, or a part of a worker's report, could not be decoded. */
     public val malformedInput: (kind: String) -> Unit = {},
-    /** The store does not take a row of a table for what it holds. */
-    public val rowRefused: (table: String) -> Unit = {},
     public val invariantBroken: () -> Unit = {},
 )
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -95,14 +95,21 @@
     }
 
     private fun failuresOf(part: List<TrackedTask>): Map<Int, Set<Long>> = when {
-        !description.isGang -> part.filter { it.failedRuns.isNotEmpty() }.associate { it.index to it.failedRuns.toSet() }
+        !description.isGang -> part.filter {
+            it.failedRuns.isNotEmpty()
+        }.associate { it.index to it.failedRuns.toSet() }
         failedGangRuns.isEmpty() || part.none { it.index == 0 } -> emptyMap()
         else -> mapOf(0 to failedGangRuns.toSet())
     }
 
     /** Crashes that a service task did not cause say nothing about it, and add up as long as it runs. */
-    private fun storedCrashesOf(task: TrackedTask): Set<CrashedRun> =
-        if (description.isService) task.crashes.runs.filterTo(HashSet()) { it.role != CrashRole.VICTIM } else task.crashes.runs
+    private fun storedCrashesOf(task: TrackedTask): Set<CrashedRun> = if (description.isService) {
+        task.crashes.runs.filterTo(HashSet()) {
+            it.role != CrashRole.VICTIM
+        }
+    } else {
+        task.crashes.runs
+    }
 
     /** Restores the progress of the tasks whose indices [isLeftOut] does not leave out. */
     fun restore(progress: StepProgress, isLeftOut: (index: Int) -> Boolean = { false }) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -242,8 +242,8 @@
         quarantinedUntilMs <= nowMs
 
     /**
-     * Advances [acknowledgedEnd] over the ends whose changes are stored: those up to [savedChangeNumber], unless a row of
-     * their job [isHeld] back.
+     * Advances [acknowledgedEnd] over the ends whose changes are stored: those up to [savedChangeNumber], unless a row
+     * of their job [isHeld] back.
      */
     fun acknowledge(savedChangeNumber: Long, isHeld: (jobId: String) -> Boolean) {
         while (unsavedEnds.isNotEmpty()) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnsavedChanges.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnsavedChanges.kt
@@ -54,15 +54,14 @@
         val writes = ArrayList<RowWrite>()
         val leftOut = ArrayList<UnsavedRow>()
         for (row in dirty.keys) {
-            if (rows.size >= maxRows) break
             val write = row.toWrite()
-            if (!mayWrite(write)) {
+            if (mayWrite(write)) {
+                if (rows.size >= maxRows || !size.add(write)) break
+                rows += row
+                writes += write
+            } else {
                 leftOut += row
-                continue
             }
-            if (!size.add(write)) break
-            rows += row
-            writes += write
         }
         (rows + leftOut).forEach { dirty.remove(it) }
         held += leftOut
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerSession.kt
@@ -49,7 +49,11 @@
     /** Polls at once, in parallel to a poll that may be waiting; used when a request to the worker failed. */
     suspend fun probe() {
         val requestedAtMs = context.clock()
-        when (val answer = hold(holdRequestAt(requestedAtMs).copy(waitMs = 0, acknowledgedEnd = 0, connection = null))) {
+        when (
+            val answer = hold(
+                holdRequestAt(requestedAtMs).copy(waitMs = 0, acknowledgedEnd = 0, connection = null),
+            )
+        ) {
             is HoldAnswer.Report -> when {
                 isFromSuccessor(answer) -> onSuccessor(worker, answer.startedAtMs)
 
--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/ProgressRowTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/ProgressRowTest.kt
@@ -10,6 +10,7 @@
 import dev.bronzeshore.core.cluster.JobProgress
 import dev.bronzeshore.core.cluster.MAX_ROW_BYTES
 import dev.bronzeshore.core.cluster.ProgressPart
+import dev.bronzeshore.core.cluster.ProgressPartRows
 import dev.bronzeshore.core.cluster.QueueTerms
 import dev.bronzeshore.core.cluster.RowWrite
 import dev.bronzeshore.core.cluster.StepDescription
@@ -93,7 +94,7 @@
     }
 
     private fun TrackedJob.restoreFrom(rows: List<RowWrite>) {
-        val (own, parts) = rows.partition { Tables.jobOfProgressPart(it.id.key) == null }
+        val (own, parts) = rows.partition { ProgressPartRows.jobOf(it.id.key) == null }
         restore(
             own.single().let { decodeRow(JobProgress.serializer(), it.value).getOrNull() },
             parts.mapNotNull { decodeRow(ProgressPart.serializer(), it.value).getOrNull() },
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -1,6 +1,7 @@
 /** Prometheus metrics of a cluster process. Thread-safe. */
 package dev.bronzeshore.server.cluster
 
+import dev.bronzeshore.scheduler.JournalMetrics
 import dev.bronzeshore.scheduler.LossMetrics
 import dev.bronzeshore.scheduler.MemoryUse
 import dev.bronzeshore.scheduler.SchedulerMetrics
@@ -77,13 +78,15 @@
             duplicateRun = { duplicateRuns.inc() },
         ),
         workerPoll = { workerPolls.inc() },
-        journalWrite = { outcome, ms -> journal.labelValues(outcome).observe(ms / MS_PER_SECOND) },
+        journal = JournalMetrics(
+            write = { outcome, ms -> journal.labelValues(outcome).observe(ms / MS_PER_SECOND) },
+            rowRefused = { refusedRows.labelValues(it).inc() },
+        ),
         jobEnded = { queue, phase, ms -> jobs.labelValues(queue, phase).observe(ms / MS_PER_SECOND) },
         advice = { advice.labelValues(it).inc() },
         planningRound = { planningRounds.observe(it / MS_PER_SECOND) },
         unexpectedError = { unexpectedErrors.labelValues(it).inc() },
         malformedInput = { malformed.labelValues(it).inc() },
-        rowRefused = { refusedRows.labelValues(it).inc() },
         invariantBroken = { invariantViolations.inc() },
     )
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/LargeProgressTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LargeProgressTest.kt
@@ -33,7 +33,7 @@
     fun `other jobs end beside a job whose failed tasks do not fit into a row`() =
         otherJobEndsBeside(TASKS_BEYOND_LIMIT, runMs = 60_000)
 
-    /** Guards against progress that a takeover loses between the rows of a job, and against rows that are left behind. */
+    /** Guards against progress that a takeover loses between the rows of a job, and against rows that stay behind. */
     @Test
     fun `a wide job ends across takeovers and leaves one row`() = runTest(timeout = 3.minutes) {
         val simulation = SchedulerSimulation(this, seed = 92, workerCount = 4)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/LostVotersTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LostVotersTest.kt
@@ -46,7 +46,9 @@
                 simulation.stopLeader()
                 simulation.lead()
             }
-            awaitUntil(withinMs = LEASES_OVER_MS) { simulation.workers.checker.starts == case.workers + case.lostWorkers }
+            awaitUntil(withinMs = LEASES_OVER_MS) {
+                simulation.workers.checker.starts == case.workers + case.lostWorkers
+            }
             assertNoViolations(simulation)
         }
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/RefusedRowTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/RefusedRowTest.kt
@@ -2,6 +2,7 @@
 package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.JobPhase
+import dev.bronzeshore.core.cluster.ProgressPartRows
 import dev.bronzeshore.core.cluster.RowId
 import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.WaitingCounts
@@ -89,9 +90,9 @@
         fun cases(): List<Any> = listOf(
             Case("progress of a job") { it == Tables.progressRow(REFUSED_JOB) },
             Case("a part of the progress of a job", tasks = 400) {
-                Tables.jobOfProgressPart(it.key) == REFUSED_JOB && it.key.endsWith(".0")
+                ProgressPartRows.jobOf(it.key) == REFUSED_JOB && it.key.endsWith(".0")
             },
-            Case("all parts of the progress of a job", tasks = 400) { Tables.jobOfProgressPart(it.key) == REFUSED_JOB },
+            Case("all parts of the progress of a job", tasks = 400) { ProgressPartRows.jobOf(it.key) == REFUSED_JOB },
             Case("roster", takesRoster = false) { Tables.rosterNumberOf(it) != null },
             Case("counts", takesCounts = false) { it == Tables.WAITING_ROW },
             Case("speeds") { it == Tables.SPEEDS_ROW },
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/RestartedKindTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/RestartedKindTest.kt
@@ -37,7 +37,9 @@
     @MethodSource("cases")
     internal fun `nothing starts on a new boot before its entry has come`(case: Case) = runTest {
         val simulation = SchedulerSimulation(this, seed = 95, workerCount = 2)
-        simulation.workers.ids.toList().forEach { id -> simulation.workers.update(id) { it.copy(labels = setOf(LABEL)) } }
+        simulation.workers.ids.toList().forEach { id ->
+            simulation.workers.update(id) { it.copy(labels = setOf(LABEL)) }
+        }
         simulation.lead()
         simulation.awaitRoster()
         delay(NOTICED_MS)
@@ -46,7 +48,12 @@
         case.meanwhile(simulation, former, case.change)
         delay(NOTICED_MS)
         repeat(JOBS) { number ->
-            val needy = step(replicas = 2, cores = 8, durationMs = 900, isGang = case.isGang).copy(requiredLabel = LABEL)
+            val needy = step(
+                replicas = 2,
+                cores = 8,
+                durationMs = 900,
+                isGang = case.isGang,
+            ).copy(requiredLabel = LABEL)
             simulation.submit(idOf(number), needy)
             delay(SUBMIT_PERIOD_MS)
         }
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/StoreStandIn.kt
@@ -69,9 +69,9 @@
     private suspend fun transact(caller: String, transaction: StoreTransaction): StoreOutcome {
         calls.merge("transact", 1, Int::plus)
         delay(latencyMsOf(caller) / 2)
-        if (isRefused(caller)) return StoreOutcome.NotApplied("refused")
-        if (isTooLarge(transaction) || transaction.writes.any { faults.isRowRefused(it.id) }) {
-            return StoreOutcome.NotApplied("refused", isContentRefused = true)
+        val isContentRefused = isTooLarge(transaction) || transaction.writes.any { faults.isRowRefused(it.id) }
+        if (isRefused(caller) || isContentRefused) {
+            return StoreOutcome.NotApplied("refused", isContentRefused && !isRefused(caller))
         }
         val partitions = (transaction.writes.map { it.id } + transaction.deletes + transaction.conditions.map { it.id })
         if (partitions.any { isSilent(caller, it.partition) }) {
