--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
@@ -297,14 +297,12 @@
         )
     }
 
-    /** Null if a row cannot be decoded. */
+    /** Null if the processes cannot be decoded; without the workers, the promises of processes still suffice. */
     private fun electorateOf(processes: ByteArray, workers: ByteArray?): Electorate? {
         val names = decodeRow(VotersRow.serializer(), processes).onLeft(::logMalformed).getOrNull()?.processNames
-        if (names == null || workers == null) return names?.let { Electorate(it.toSet()) }
-        val voting = decodeRow(VotingWorkersRow.serializer(), workers).onLeft(::logMalformed).getOrNull()?.workers
-        return voting?.let { list ->
-            Electorate(names.toSet(), list.mapTo(HashSet()) { WorkerIncarnation(it.workerId, it.startedAtMs) })
-        }
+        val voting = workers?.let { decodeRow(VotingWorkersRow.serializer(), it).onLeft(::logMalformed).getOrNull() }
+        val incarnations = voting?.workers.orEmpty().mapTo(HashSet()) { WorkerIncarnation(it.workerId, it.startedAtMs) }
+        return names?.let { Electorate(it.toSet(), incarnations) }
     }
 
     private fun logMalformed(cause: String) = log.event("voters_malformed", "cause" to cause)
