Count no crash as caused by a run that the worker never confirmed

Cause: a start without an answer, after which its worker was found crashed, counted as a likely cause, although the worker may have crashed before the start arrived. Two such crashes gave the task up.

Two new cases of CrashingTaskTest, in which two workers crash while the start is on its way, fail on the code before.

Change: such a run is a suspect, of which three crashes are needed. Whether a crash is explained by a new run is judged by time alone, as before.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashAttribution.kt
@@ -60,12 +60,16 @@
         lifecycle.giveUp(task, "task ${task.name} has crashed its workers")
     }
 
+    /** A run that its worker has never confirmed need not have begun: the worker may have crashed before. */
     private fun roleOf(placement: Placement, crashedAtMs: Long): CrashRole = when {
         placement.isProven -> CrashRole.VICTIM
-        crashedAtMs - placement.orderedAtMs <= NOTICED_AT_ONCE_MS -> CrashRole.LIKELY_CAUSE
+        placement.isConfirmed && isNew(placement, crashedAtMs) -> CrashRole.LIKELY_CAUSE
         else -> CrashRole.SUSPECT
     }
 
+    private fun isNew(placement: Placement, crashedAtMs: Long): Boolean =
+        !placement.isProven && crashedAtMs - placement.orderedAtMs <= NOTICED_AT_ONCE_MS
+
     /**
      * Number of workers without new runs that crashed at the same time. Those with new runs say nothing: after a
      * takeover many tasks start at once, and those of them that crash their workers do so together.
@@ -97,8 +101,7 @@
         }
     }
 
-    private fun hasNewRun(worker: TrackedWorker, crashedAtMs: Long) =
-        worker.placements.any { roleOf(it, crashedAtMs) == CrashRole.LIKELY_CAUSE }
+    private fun hasNewRun(worker: TrackedWorker, crashedAtMs: Long) = worker.placements.any { isNew(it, crashedAtMs) }
 
     /**
      * Records the crash of a worker that a former leader had reserved for the suspected tasks of [jobId], and whose
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedTask.kt
@@ -74,6 +74,9 @@
     /** Monotonic time at which the worker confirmed the start or the stop. */
     var confirmedAtMs: Long? = null
 
+    /** The worker has said that the run has begun. */
+    val isConfirmed: Boolean get() = isReported || startConfirmedWorkerMs != null
+
     /** Time of the worker's clock at which it first confirmed the run. */
     private var startConfirmedWorkerMs: Long? = null
 
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/CrashingTaskTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/CrashingTaskTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
 
 private const val CRASHING_JOB = "00000000000000dd"
 private const val OTHER_JOBS = 12
@@ -88,6 +89,21 @@
         assertEquals(setOf(JobPhase.COMPLETED), others)
     }
 
+    /** Guards against a sound task that is given up because of crashes of workers which never ran it. */
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `a task whose workers crash before its start arrives is not given up`(isGang: Boolean) = runTest {
+        val simulation = SchedulerSimulation(this, seed = 22, workerCount = 6)
+        simulation.lead()
+        simulation.awaitRoster()
+        var crashes = 0
+        simulation.workers.faults.crashesBeforeStart = { it.index == 0 && crashes++ < 2 }
+        simulation.submit(CRASHING_JOB, step(replicas = 3, cores = 2, durationMs = 800, isGang = isGang))
+        assertTrue(simulation.awaitPhase(CRASHING_JOB, JobPhase.COMPLETED, RECOVERY_MS))
+        assertTrue(crashes > 2)
+        assertEquals(emptyList<String>(), simulation.workers.checker.violations)
+    }
+
     private suspend fun TestScope.startWithCrashingJob(case: CrashCase): SchedulerSimulation {
         val simulation = SchedulerSimulation(this, seed = 21, workerCount = 6)
         simulation.lead()
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkerFaults.kt
@@ -34,6 +34,9 @@
     /** Workers whose reports leave out running tasks, as if their entries could not be decoded. */
     public val malformedReports: MutableSet<String> = HashSet()
 
+    /** The worker crashes on its own while the start of the task is on its way; the run never begins. */
+    public var crashesBeforeStart: (TaskName) -> Boolean = { false }
+
     /** Tasks that crash each worker which starts them. */
     public var crashesItsWorker: (TaskName) -> Boolean = { false }
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/WorkersStandIn.kt
@@ -165,6 +165,10 @@
         if (hasSuccessor(worker)) return StartAnswer(StartResult.OTHER_WORKER)
         val model = reachableWorker(caller, worker) ?: return startFailure(worker)
         val task = taskOf(request.run.task)
+        if (faults.crashesBeforeStart(request.run.task)) {
+            crashAndReplace(worker.incarnation.workerId)
+            return StartAnswer(StartResult.UNKNOWN)
+        }
         if (random.nextDouble() >= faults.delayedRequestShare) return start(model, request, task)
         scope.launch {
             delay(random.nextLong(MIN_REQUEST_DELAY_MS, faults.maxRequestDelayMs))
