Replace lost voting workers after five seconds

Workers are replaced one after the other in a release. With the 16 s after which a process is no voter, half of the stored workers could be gone at a time, and a successor that has lost the processes too would wait for 36 minutes. A worker that has not answered three polls is no voter any more; a leader that most of them do not answer keeps them for 120 s, as before.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/VoterSelection.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/VoterSelection.kt
@@ -6,6 +6,9 @@
 /** A process that has not answered for three rounds is no voter while the store confirms the leader's term. */
 internal const val VOTER_LOST_AFTER_MS = 16_000L
 
+/** A worker that has not answered three polls is no voter; workers are replaced one after another, and often. */
+internal const val WORKER_LOST_AFTER_MS = 5_000L
+
 /** The same if most voters do not answer: the leader may be cut off from them, and a successor might need them. */
 internal const val MAJORITY_LOST_AFTER_MS = 120_000L
 
@@ -30,13 +33,13 @@
 /**
  * The workers that are to vote in place of [stored], by the time since each incarnation answered.
  *
- * Those that are stored stay while they answer. Their number is odd, so that none of them is needed beyond a majority.
+ * Those that are stored stay while they answer. Their number is odd: one more would only raise the majority.
  */
 internal fun selectWorkerVoters(
     stored: Set<WorkerIncarnation>,
     silenceMs: Map<WorkerIncarnation, Long>,
 ): Set<WorkerIncarnation> {
-    val recent = silenceMs.filterValues { it < VOTER_LOST_AFTER_MS }.keys
+    val recent = silenceMs.filterValues { it < WORKER_LOST_AFTER_MS }.keys
     val hasMajority = stored.isEmpty() || isMajorityOf(stored, recent)
     val present = if (hasMajority) recent else silenceMs.filterValues { it < MAJORITY_LOST_AFTER_MS }.keys
     // Hash codes of ids mix data centres and racks.
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterSelectionTest.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/VoterSelectionTest.kt
@@ -48,6 +48,8 @@
     }
 
     companion object {
+        private const val WORKER_LOST = WORKER_LOST_AFTER_MS
+
         private fun workerOf(name: Char) = WorkerIncarnation("$name", startedAtMs = 1)
 
         private val MANY = CharRange('A', 'A' + MAX_WORKER_VOTERS + 1).joinToString("")
@@ -60,9 +62,9 @@
             WorkerCase("a worker joins", "bcd", "abcd", emptyMap(), "bcd"),
             WorkerCase("two workers join", "bcd", "abcde", emptyMap(), "abcde"),
             WorkerCase("more than fit", "", MANY, emptyMap(), MANY.take(MAX_WORKER_VOTERS)),
-            WorkerCase("one was silent for a short time", "abc", "ab", mapOf('c' to LOST - 1), "abc"),
-            WorkerCase("one is lost and replaced", "abc", "abd", mapOf('c' to LOST), "abd"),
-            WorkerCase("most are silent", "abcde", "ab", "cde".associateWith { LOST }, "abcde"),
+            WorkerCase("one was silent for a short time", "abc", "ab", mapOf('c' to WORKER_LOST - 1), "abc"),
+            WorkerCase("one is lost and replaced", "abc", "abd", mapOf('c' to WORKER_LOST), "abd"),
+            WorkerCase("most are silent", "abcde", "ab", "cde".associateWith { WORKER_LOST }, "abcde"),
             WorkerCase("most are lost for long", "abcde", "abfg", "cde".associateWith { LONG_LOST }, "abf"),
         )
 
