--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/WorkerVotes.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/WorkerVotes.kt
@@ -17,13 +17,12 @@
     /** Notes that [worker] has answered a request that was sent at [sentAtMs]. */
     fun record(worker: WorkerIncarnation, sentAtMs: Long) {
         val last = lastAnswers[worker.workerId]
-        val isOlder = last != null &&
-            (
-                last.startedAtMs > worker.startedAtMs ||
-                    last.startedAtMs == worker.startedAtMs &&
-                    last.sentAtMs >= sentAtMs
-                )
-        if (!isOlder) lastAnswers[worker.workerId] = Answer(worker.startedAtMs, sentAtMs)
+        val isNewer = when {
+            last == null || worker.startedAtMs > last.startedAtMs -> true
+            worker.startedAtMs < last.startedAtMs -> false
+            else -> sentAtMs > last.sentAtMs
+        }
+        if (isNewer) lastAnswers[worker.workerId] = Answer(worker.startedAtMs, sentAtMs)
     }
 
     /** The incarnations that answered a request which was sent after [sentAfterMs]. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TableReader.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TableReader.kt
@@ -32,7 +32,7 @@
         )
     }
 
-    /** Reads one partition, or returns null; the version is that of the first page, so that no later change is missed. */
+    /** Reads one partition; null if that fails. The version is that of the first page, so that no change is missed. */
     public suspend fun readPart(table: String, part: String): TableContent? {
         val rows = ArrayList<StoredRow>()
         var first: RowPage? = null
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermControl.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TermControl.kt
@@ -30,7 +30,7 @@
     public val formerRevokedAtMs: () -> Long?,
     /** Keeps the authority until cancelled. */
     public val maintain: suspend () -> Unit,
-    public val workerAnswers: WorkerAnswers = WorkerAnswers({ 0 }, { _, _ -> }),
+    public val workerAnswers: WorkerAnswers,
 )
 
 /** Receives the answers of workers, which show that they refuse former leaders. */
