Keep the stored voting workers after a takeover

A leader that has just taken over, and whose workers have not answered yet, stored an empty set of voting workers. If all processes were lost then, the successor had nobody to promise, and waited for 36 minutes.

Change: stored workers that have not answered yet count as silent since the term began, as the stored processes do.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
@@ -87,6 +87,7 @@
     private val log = EventLog("leadership")
     private val voters = VoterSet()
     private val startedAtMs = context.clock()
+    private val elapsedStartedAtMs = context.elapsedClock()
     private var votedAtMs: Long? = null
     private val answeredAtMs = HashMap<String, Long>()
     private val workerVotes = WorkerVotes()
@@ -237,10 +238,17 @@
         val stored = voters.stored
         return Electorate(
             selectVoters(context.processName, stored?.processes, answeredAtMs.mapValues { now - it.value }),
-            selectWorkerVoters(stored?.workers.orEmpty(), workerVotes.silenceMs(context.elapsedClock())),
+            selectWorkerVoters(stored?.workers.orEmpty(), workerSilenceMs(stored?.workers.orEmpty())),
         )
     }
 
+    /** The stored workers that have not answered yet are silent since the term began, and no longer. */
+    private fun workerSilenceMs(stored: Set<WorkerIncarnation>): Map<WorkerIncarnation, Long> {
+        val now = context.elapsedClock()
+        val unanswered = stored - workerVotes.promisesOf(stored)
+        return unanswered.associateWith { now - elapsedStartedAtMs } + workerVotes.silenceMs(now)
+    }
+
     private suspend fun storeVoters(wanted: Electorate) {
         val read = readVoters() ?: return
         voters.observe(read.electorate, read.version)
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/LostVotersTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/LostVotersTest.kt
@@ -14,6 +14,7 @@
 private const val JOB = "00000000000000aa"
 private const val RUN_MS = 60_000L
 private const val HEARTBEAT_PERIOD_MS = 450L
+private const val SLOW_POLL_MS = 4_000L
 
 /** Longest lease, the time for which votes of workers hold, and margins. */
 private const val LEASES_OVER_MS = 16_000L
@@ -117,6 +118,11 @@
             Case("all voters, and three of eight workers", workers = 8, lost = 3, lostWorkers = 3),
             Case("all voters, and one of three workers", workers = 3, lost = 3),
             Case("the first replacements are lost again", workers = 8, lost = 3, leaders = listOf(1_000, 2_000)),
+            Case("all voters soon after a takeover", workers = 8, lost = 3) {
+                stopLeader()
+                lead(pollDelayMs = { SLOW_POLL_MS })
+                delay(SLOW_POLL_MS / 2)
+            },
             Case("all voters while other workers start again", workers = 8, lost = 3) {
                 workers.restart("idle-6")
                 workers.restart("idle-7")
