Split what stores the voters, and the model's voting worker

Change: VoterStore reads and writes the two rows of the voters; VotingWorkerModel is the worker of the lease model.

--- a/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
+++ b/leadership/src/main/kotlin/dev/bronzeshore/leadership/LeaseQuorum.kt
@@ -17,15 +17,8 @@
 import dev.bronzeshore.core.EventLog
 import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.NodeRow
-import dev.bronzeshore.core.cluster.RowCondition
-import dev.bronzeshore.core.cluster.RowRangeQuery
-import dev.bronzeshore.core.cluster.RowWrite
 import dev.bronzeshore.core.cluster.StoreOutcome
-import dev.bronzeshore.core.cluster.StoreTransaction
-import dev.bronzeshore.core.cluster.Tables
 import dev.bronzeshore.core.cluster.WorkerIncarnation
-import dev.bronzeshore.core.cluster.decodeRow
-import dev.bronzeshore.core.cluster.encodeRow
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -77,15 +70,11 @@
     public val elapsedClock: ClockMs,
 )
 
-/** What is stored of the voters, null if none are stored or can be read, and the version of their row. */
-private class StoredVoters(val electorate: Electorate?, val version: Long) {
-    val isMalformed: Boolean get() = electorate == null && version > 0
-}
-
 /** The authority of one term; confined to the control thread. */
 public class LeaseQuorum(private val context: LeaseQuorumContext, private val term: LeaderTerm) {
     private val log = EventLog("leadership")
     private val voters = VoterSet()
+    private val voterStore = VoterStore(context.store, term)
     private val startedAtMs = context.clock()
     private val elapsedStartedAtMs = context.elapsedClock()
     private var votedAtMs: Long? = null
@@ -250,18 +239,10 @@
     }
 
     private suspend fun storeVoters(wanted: Electorate) {
-        val read = readVoters() ?: return
+        val read = voterStore.read() ?: return
         voters.observe(read.electorate, read.version)
         voters.propose(wanted, read.version)
-        val outcome = context.store.transact(
-            StoreTransaction(
-                listOf(
-                    RowCondition(Tables.TERM_ROW, term.termRowVersion),
-                    RowCondition(Tables.VOTERS_ROW, read.version),
-                ),
-                writesOf(wanted),
-            ),
-        )
+        val outcome = voterStore.write(wanted, read.version)
         when (outcome) {
             is StoreOutcome.Applied -> voters.observe(wanted, version = null)
 
@@ -280,38 +261,8 @@
 
     private suspend fun firstRead(): StoredVoters {
         while (true) {
-            readVoters()?.let { return it }
+            voterStore.read()?.let { return it }
             delay(CHECK_PERIOD_MS)
         }
     }
-
-    /** What is stored while this term is held; null if that cannot be read, or another term has begun. */
-    private suspend fun readVoters(): StoredVoters? {
-        val page = context.store.readPage(RowRangeQuery(Tables.LEADER, Tables.LEADER_PARTITION)).getOrNull()
-        val rows = page?.rows.orEmpty()
-        if (rows.none { it.id == Tables.TERM_ROW && it.version == term.termRowVersion }) return null
-        val row = rows.firstOrNull { it.id == Tables.VOTERS_ROW } ?: return StoredVoters(electorate = null, version = 0)
-        // A transaction gives its rows one version; earlier releases write the processes alone.
-        val workers = rows.firstOrNull { it.id == Tables.VOTING_WORKERS_ROW && it.version == row.version }
-        return StoredVoters(row.value?.let { electorateOf(it, workers?.value) }, row.version)
-    }
-
-    private fun writesOf(voters: Electorate): List<RowWrite> {
-        val processes = VotersRow(term.term, voters.processes.sorted())
-        val workers = VotingWorkersRow(voters.workers.map { WorkerVoter(it.workerId, it.startedAtMs) })
-        return listOf(
-            RowWrite(Tables.VOTERS_ROW, encodeRow(VotersRow.serializer(), processes)),
-            RowWrite(Tables.VOTING_WORKERS_ROW, encodeRow(VotingWorkersRow.serializer(), workers)),
-        )
-    }
-
-    /** Null if the processes cannot be decoded; without the workers, the promises of processes still suffice. */
-    private fun electorateOf(processes: ByteArray, workers: ByteArray?): Electorate? {
-        val names = decodeRow(VotersRow.serializer(), processes).onLeft(::logMalformed).getOrNull()?.processNames
-        val voting = workers?.let { decodeRow(VotingWorkersRow.serializer(), it).onLeft(::logMalformed).getOrNull() }
-        val incarnations = voting?.workers.orEmpty().mapTo(HashSet()) { WorkerIncarnation(it.workerId, it.startedAtMs) }
-        return names?.let { Electorate(it.toSet(), incarnations) }
-    }
-
-    private fun logMalformed(cause: String) = log.event("voters_malformed", "cause" to cause)
 }
--- a/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
+++ b/leadership/src/test/kotlin/dev/bronzeshore/leadership/LeaseModel.kt
@@ -19,15 +19,13 @@
     private val processes = 0 until scope.processes
     private val voters = VoterModel(scope, removed)
     private val requests = RequestModel(scope, removed)
+    private val votingWorker = VotingWorkerModel(scope, removed)
     private val waitTime = when (removed) {
         Rule.WAIT_COVERS_LAST_VOTES -> scope.lease
         Rule.WAIT_COVERS_LEASES -> scope.authority
         else -> scope.authority + scope.lease
     }
 
-    /** Time for which the vote of a worker holds longer than those of processes. */
-    private val workerWait = if (removed == Rule.WAIT_COVERS_WORKER_VOTES) 0 else scope.workerVote - scope.authority
-
     fun firstStates(): List<LeaseState> = scope.firstVoters.map { stored ->
         LeaseState(scope.processes).apply {
             this[Shared.STORE_TERM] = 1
@@ -79,19 +77,11 @@
                 expandLeader(state, process, step)
             }
         }
-        restartWorker(state)?.let { step.to(it, "the voting worker restarts", -1, -1) }
+        votingWorker.restart(state)?.let { step.to(it, "the voting worker restarts", -1, -1) }
         voters.applyLate(state, step)
         requests.arrive(state, step)
     }
 
-    private fun restartWorker(state: LeaseState): LeaseState? {
-        if (state[Shared.WORKER_RESTARTS_LEFT] == 0) return null
-        return state.copy().apply {
-            this[Shared.WORKER_RESTARTS_LEFT] -= 1
-            this[Shared.VOTING_WORKER_FENCE] = if (removed == Rule.WORKER_VOTES_BY_INCARNATION) 0 else ENDED
-        }
-    }
-
     private fun expandEnvironment(state: LeaseState, process: Int, step: Step) {
         if (state[Shared.RESTARTS_LEFT] > 0) {
             val next = state.copy()
@@ -146,32 +136,14 @@
         if (!isSuspended && this[process, Own.REVOCATION] == 2) {
             this[process, Own.REVOKED_AGE] = minOf(this[process, Own.REVOKED_AGE] + 1, waitTime)
         }
-        if (!isSuspended && this[process, Own.REVOCATION] == 1 && hasPromiseOfWorker(process)) {
+        if (!isSuspended && this[process, Own.REVOCATION] == 1 && votingWorker.hasPromised(this, process)) {
             this[process, Own.REVOKED_AGE] += 1
             completeRevocation(process)
         }
     }
 
-    private fun LeaseState.hasPromiseOfWorker(process: Int) =
-        voters.hasWorker(this[process, Own.FORMER] and this[process, Own.PROMISES])
-
-    /** The worker refuses former leaders from then on; of a later incarnation it is known that this one has ended. */
-    fun pollWorker(state: LeaseState, process: Int): LeaseState? {
-        val term = state[process, Own.HELD]
-        val fence = state[Shared.VOTING_WORKER_FENCE]
-        val hasEnded = fence == ENDED
-        if (!scope.hasVotingWorker) return null
-        if (!hasEnded && fence > term && removed != Rule.WORKER_REFUSES_FORMER_LEADERS) return null
-        val next = state.copy()
-        if (!hasEnded) {
-            next[Shared.VOTING_WORKER_FENCE] = maxOf(term, fence)
-            next[process, Own.WORKER_AGE] = 0
-        }
-        if (state[process, Own.REVOCATION] == 1 && voters.hasWorker(state[process, Own.FORMER])) {
-            next[process, Own.PROMISES] = state[process, Own.PROMISES] or scope.worker
-            next.completeRevocation(process)
-        }
-        return next.takeUnless { it.bytes.contentEquals(state.bytes) }
+    private fun pollWorker(state: LeaseState, process: Int): LeaseState? = votingWorker.poll(state, process)?.apply {
+        if (this[process, Own.REVOCATION] == 1) completeRevocation(process)
     }
 
     fun read(state: LeaseState, process: Int): LeaseState? {
@@ -232,7 +204,7 @@
         val isComplete = this[process, Own.FORMER] == 0 ||
             removed == Rule.SUCCESSOR_NEEDS_PROMISES ||
             voters.isMajorityOf(this[process, Own.FORMER], this[process, Own.PROMISES]) ||
-            (hasPromiseOfWorker(process) && this[process, Own.REVOKED_AGE] >= workerWait)
+            votingWorker.hasRevoked(this, process)
         if (!isComplete) return
         this[process, Own.REVOCATION] = 2
         this[process, Own.REVOKED_AGE] = 0
