--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/Recovery.kt
@@ -79,7 +79,7 @@
 
     fun mayStart(job: TrackedJob): Boolean {
         if (isComplete || context.confirmation.isNewerThanTerm(job)) return true
-        if (registry.hasUnknownRuns) return !registry.mayHaveUnknownRuns(job.id)
+        if (registry.former.hasUnknownRuns) return !registry.former.mayHaveUnknownRuns(job.id)
         isComplete = true
         context.log.event("recovery_complete", "term" to context.term)
         return true
@@ -89,7 +89,7 @@
     private fun readRoster(notes: TableContent): Map<Int, List<RosterWorker>?> {
         val rows = notes.rows.mapNotNull { row -> Tables.rosterNumberOf(row.id)?.let { it to row } }.toMap()
         return rows.mapValues { (_, row) -> row.decoded(WorkerRosterRow.serializer())?.workers }
-            .also { if (null in it.values) registry.isRosterUnknown = true }
+            .also { if (null in it.values) registry.former.isRosterUnknown = true }
     }
 
     /** A job whose progress cannot be decoded is set aside: to start it anew could repeat what has run. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
@@ -13,11 +13,11 @@
 internal class UnknownUsage(private val context: TermContext, private val registry: WorkerRegistry) {
     /** Most that unknown runs of [account] may take now. */
     fun of(account: String): Resources {
-        if (!registry.hasUnknownRuns) return Resources.NONE
+        if (!registry.former.hasUnknownRuns) return Resources.NONE
         val wanted = context.jobRegistry.openJobs
             .filter { it.accepted.account == account && mayHaveUnknownRuns(it) }
             .fold(Resources.NONE) { sum, job -> sum.plusOpen(job).plusUnopened(job) }
-        return registry.unreportedCapacity?.let { wanted.atMost(it) } ?: wanted
+        return registry.former.unreportedCapacity?.let { wanted.atMost(it) } ?: wanted
     }
 
     private fun Resources.plusOpen(job: TrackedJob): Resources =
@@ -32,7 +32,7 @@
     }
 
     private fun mayHaveUnknownRuns(job: TrackedJob) =
-        !context.confirmation.isNewerThanTerm(job) && registry.mayHaveUnknownRuns(job.id)
+        !context.confirmation.isNewerThanTerm(job) && registry.former.mayHaveUnknownRuns(job.id)
 }
 
 /** Adds [count] tasks of [size]; amounts beyond [MAX_AMOUNT] count as that. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/WorkerRegistry.kt
@@ -7,15 +7,6 @@
 import dev.bronzeshore.core.cluster.WorkerEntry
 import dev.bronzeshore.core.cluster.WorkerIncarnation
 
-/** Margin for clock error and for the transit of a request, added to the time after which a lease has expired. */
-private const val LEASE_MARGIN_MS = 300L
-
-/** A worker's clock may run slow, so that its leases last longer by up to this factor. */
-private const val SLOW_CLOCK_FACTOR = 1.03
-
-/** Longest time for which a former leader grants leases after its authority was revoked, with a margin. */
-private const val FORMER_LEADER_STOPS_WITHIN_MS = 2_500L
-
 /** An entry expires after three intervals without a heartbeat; half of one is the margin for late heartbeats. */
 private const val HEARTBEATS_BEFORE_EXPIRY = 2.5
 
@@ -34,79 +25,25 @@
 ) {
     private var directoryFailedAtMs = Long.MIN_VALUE / 2
 
-    /** Longest time from the grant of a lease until the runs under it have ended. */
-    private val leaseTimeMs =
-        (context.bounds.maxLeaseMs * SLOW_CLOCK_FACTOR).toLong() + context.bounds.stopGraceMs + LEASE_MARGIN_MS
-
-    /** Monotonic time from which all workers that a former leader may have used are known; null before [onLoaded]. */
-    private var loadedAtMs: Long? = null
-
-    /** Monotonic time after which all leases that former leaders granted have expired; null while it is not known. */
-    private val formerLeasesUntilMs: Long?
-        get() {
-            val loadedMs = loadedAtMs ?: return null
-            val revokedMs = context.authority.formerRevokedAtMs() ?: return null
-            return maxOf(loadedMs, revokedMs) + FORMER_LEADER_STOPS_WITHIN_MS + leaseTimeMs
-        }
+    private val leases = LeaseExpiry(context)
 
-    /** Workers that a former leader may have used, with the jobs that may run there; null stands for any job. */
-    private val formerWorkers = HashMap<TrackedWorker, Set<String>?>()
-
-    /** The stored roster cannot be decoded, so that a former leader may have used workers which are not known. */
-    var isRosterUnknown = false
-
-    private val unreportedWorkers: List<TrackedWorker>
-        get() = context.clock().let { now -> formerWorkers.keys.filter { mayHaveUnknownRuns(it, now) } }
+    /** What former leaders may have started on the workers. */
+    val former = FormerRuns(context, leases)
 
     /** All workers that a former leader may have used are known and polled from now on. */
-    fun onLoaded() {
-        loadedAtMs = context.clock()
-    }
-
-    /** Leases of a worker with further ends do not expire with those of the former leader: this leader renews them. */
-    private fun mayHaveUnknownRuns(worker: TrackedWorker, now: Long): Boolean = when {
-        worker.isGone || worker.hasReportedAll -> false
-        worker.hasFurtherEnds && (worker.isReachable || !isLeaseOver(worker, now)) -> true
-        else -> !areFormerLeasesOver(now)
-    }
-
-    private fun isLeaseOver(worker: TrackedWorker, now: Long) = context.confirmation.haveExpired(now) { timeMs ->
-        worker.clock.isLeaseOver(timeMs - context.bounds.stopGraceMs - LEASE_MARGIN_MS)
-    }
-
-    private fun areFormerLeasesOver(now: Long): Boolean {
-        val untilMs = formerLeasesUntilMs ?: return false
-        return context.confirmation.haveExpired(now) { it >= untilMs }
-    }
-
-    /** True while runs that a former leader started may exist on workers that have not reported all of them yet. */
-    val hasUnknownRuns: Boolean get() = hasUnknownWorkers || unreportedWorkers.isNotEmpty()
-
-    /** Capacity of the workers on which such runs may exist; null if it is not known of all of them. */
-    val unreportedCapacity: Resources?
-        get() {
-            val unreported = unreportedWorkers
-            if (hasUnknownWorkers || unreported.any { it.entry.capacity == Resources.NONE }) return null
-            return unreported.fold(Resources.NONE) { sum, worker -> sum + worker.entry.capacity }
-        }
-
-    private val hasUnknownWorkers: Boolean get() = isRosterUnknown && !areFormerLeasesOver(context.clock())
-
-    /** True if such a run may belong to the job. */
-    fun mayHaveUnknownRuns(jobId: String): Boolean =
-        hasUnknownWorkers || unreportedWorkers.any { worker -> formerWorkers[worker]?.contains(jobId) ?: true }
+    fun onLoaded() = leases.onLoaded()
 
     /** Adds a worker on which a former leader may have started tasks. */
     fun addFormer(worker: RosterWorker) {
-        val former = WorkerIncarnation(worker.workerId, worker.startedAtMs)
-        context.workerPool.find(former)?.let { known ->
-            formerWorkers[known] = worker.heldJobs
+        val incarnation = WorkerIncarnation(worker.workerId, worker.startedAtMs)
+        context.workerPool.find(incarnation)?.let { known ->
+            former.add(known, worker.heldJobs)
             known.formerTrialJob = worker.trialJob
             return
         }
-        if (context.workerPool.withId(former.workerId).any { it.incarnation.startedAtMs > former.startedAtMs }) return
+        if (context.workerPool.withId(worker.workerId).any { it.incarnation.startedAtMs > worker.startedAtMs }) return
         val entry = WorkerEntry(
-            former,
+            incarnation,
             worker.service,
             worker.address,
             dataCentre = "",
@@ -119,14 +56,14 @@
             isListed = false
             markUndescribed()
             formerTrialJob = worker.trialJob
-            formerWorkers[this] = worker.heldJobs
+            former.add(this, worker.heldJobs)
         }
     }
 
     /** Adds a worker that was listed when the term began; a former leader may have started any job on it. */
     fun addListed(change: WorkerChange) {
         apply(change, read = null)
-        change.entry?.let { context.workerPool.find(it.incarnation) }?.let { formerWorkers[it] = null }
+        change.entry?.let { context.workerPool.find(it.incarnation) }?.let { former.add(it, heldJobs = null) }
     }
 
     /** Applies a change of the directory from the page [read]; null if it is not known when the change was made. */
@@ -247,14 +184,13 @@
     }
 
     /**
-     * [former] has ended, and [successor] has its id. Requests name a worker by its id alone, so [successor] may have
-     * carried out starts for [former], those of this leader and those of former leaders: these runs are not lost.
+     * [predecessor] has ended, and [successor] has its id. Requests name a worker by its id alone, so [successor] may
+     * have carried out starts for [predecessor], those of this leader and those of former leaders: these runs are not
+     * lost.
      */
-    private fun replace(former: TrackedWorker, successor: TrackedWorker, reason: String) {
-        if (former in formerWorkers && successor !in formerWorkers && !former.hasReportedAll) {
-            formerWorkers[successor] = formerWorkers[former]
-        }
-        markGone(former, reason, successor)
+    private fun replace(predecessor: TrackedWorker, successor: TrackedWorker, reason: String) {
+        former.moveTo(successor, predecessor)
+        markGone(predecessor, reason, successor)
     }
 
     /** Gives up the runs on unreachable workers whose leases have certainly expired, and removes unlisted workers. */
@@ -262,13 +198,13 @@
         val now = context.clock()
         context.workerPool.workers.toList().forEach { removeIfDeparted(it) }
         for (worker in context.workerPool.workers.toList().filter { !it.isReachable || !it.isContacted }) {
-            val isOver = if (worker.isContacted) isLeaseOver(worker, now) else areFormerLeasesOver(now)
+            val isOver = if (worker.isContacted) leases.isOver(worker, now) else leases.areFormerOver(now)
             if (!isOver) continue
             if (worker.recordIdleUntilAnswer()) {
                 context.log.event("former_leases_over", "worker" to worker.id, "listed" to worker.isListed)
                 context.wakeJournal()
             }
-            val (open, expired) = worker.placements.partition { !it.isReported && !isLeaseOver(it, now) }
+            val (open, expired) = worker.placements.partition { !it.isReported && !leases.isOver(it, now) }
             if (!worker.isListed && open.isEmpty()) {
                 markGone(worker, "the worker is not listed and does not answer")
                 continue
@@ -279,10 +215,6 @@
         if (context.confirmation.isExpiryOpen) context.wakeJournal()
     }
 
-    /** The run has ended for certain also if the next incarnation of the worker has carried out its start. */
-    private fun isLeaseOver(placement: Placement, now: Long) =
-        context.confirmation.haveExpired(now) { it >= placement.sentUntilMs + START_VALIDITY_MS + leaseTimeMs }
-
     /** Gives up the runs of [worker], but for those that its [successor] under the same id may have carried out. */
     private fun markGone(worker: TrackedWorker, reason: String, successor: TrackedWorker? = null) {
         worker.isGone = true
