Share what two tests of a leader's parts need around them

Cause: ReportOrderTest and UnsentStartTest built the same dependencies, worker and job in four runs of lines. Change: TestDependencies has one copy.

--- a/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/UnsentStartTest.kt
+++ b/scheduler/src/test/kotlin/dev/bronzeshore/scheduler/UnsentStartTest.kt
@@ -3,23 +3,11 @@
 
 package dev.bronzeshore.scheduler
 
-import arrow.core.left
 import dev.bronzeshore.core.Resources
-import dev.bronzeshore.core.cluster.AcceptedJob
-import dev.bronzeshore.core.cluster.ClusterBounds
-import dev.bronzeshore.core.cluster.ClusterStore
 import dev.bronzeshore.core.cluster.HoldAnswer
-import dev.bronzeshore.core.cluster.JobDescription
-import dev.bronzeshore.core.cluster.QueueTerms
-import dev.bronzeshore.core.cluster.ReadFailure
 import dev.bronzeshore.core.cluster.StartAnswer
 import dev.bronzeshore.core.cluster.StartResult
-import dev.bronzeshore.core.cluster.StepDescription
-import dev.bronzeshore.core.cluster.StoreOutcome
 import dev.bronzeshore.core.cluster.WorkerCalls
-import dev.bronzeshore.core.cluster.WorkerChange
-import dev.bronzeshore.core.cluster.WorkerEntry
-import dev.bronzeshore.core.cluster.WorkerIncarnation
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.runCurrent
@@ -79,19 +67,8 @@
             CrashAttribution(context, lifecycle),
         )
         val starter = TaskStarter(context, stopper, trials)
-        val worker = context.workerPool.add(
-            WorkerEntry(
-                WorkerIncarnation("w", STARTED_AT_MS),
-                "service",
-                "w:1",
-                "dc",
-                isDraining = false,
-                CAPACITY,
-                labels = emptySet(),
-                remainingMs = null,
-            ),
-        )
-        val job = checkNotNull(context.jobRegistry.add(acceptedJob(), acceptedAtMs = 0, knownAtMs = 0, 1))
+        val worker = context.workerPool.add(testWorkerEntry(STARTED_AT_MS, CAPACITY))
+        val job = checkNotNull(context.jobRegistry.add(testJob(JOB, TASK_SIZE), acceptedAtMs = 0, knownAtMs = 0, 1))
         val task = job.openSteps.single().tasks.single()
 
         fun receiveEmptyReport(atMs: Long) {
@@ -105,12 +82,9 @@
             return mayGrant
         }
 
-        private fun dependencies() = LeaderDependencies(
-            store = ClusterStore(
-                transact = { StoreOutcome.NotApplied("unused") },
-                readPage = { ReadFailure.Unavailable("unused").left() },
-                changes = { _, _, _ -> ReadFailure.Unavailable("unused").left() },
-            ),
+        private fun dependencies() = dependenciesWithoutStore(
+            clock = { nowMs },
+            mayGrantLeases = ::checkAuthority,
             calls = WorkerCalls(
                 start = { _, request ->
                     starts++
@@ -120,32 +94,7 @@
                 stop = { _, _, _ -> true },
                 hold = { _, _ -> HoldAnswer.Unreachable("unused") },
             ),
-            bounds = ClusterBounds(
-                maxLeaseMs = 6_000,
-                stopGraceMs = 400,
-                gangWaitMs = 3_000,
-                stopSignalGraceMs = 6_000,
-                statusRetentionMs = 120_000,
-                earlyStartMs = 250,
-                remoteFactor = 1.5,
-            ),
-            clock = { nowMs },
-            wallClock = { nowMs },
             metrics = SchedulerMetrics(),
-            termControl = TermControl(
-                TermRenewal({ null }, {}),
-                TermAuthority(::checkAuthority, { 0 }, maintain = {}, WorkerAnswers({ 0 }, { _, _ -> })),
-                onLeadershipLost = {},
-            ),
-            adviceClients = { emptyList() },
-            workers = WorkerDirectory("workers") { WorkerChange(it.id.key, null) },
-        )
-
-        private fun acceptedJob() = AcceptedJob(
-            JOB,
-            JobDescription("", listOf(StepDescription(replicas = 1, size = TASK_SIZE, estimateMs = 1_000))),
-            QueueTerms("queue", "service", 1, 3, 2.0, 500),
-            acceptedAtMs = 0,
         )
     }
 }
