Wait on conditions where a test of duplicate runs has one

Cause: DuplicateRunTest waited for fixed times. They are virtual, but four of them stood for something that can be asked: that a drain is in the stored roster, that a worker has been polled. Change: these wait on the condition. The others are the length of a fault or the time in which a wrong start would occur; they have names now.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/DuplicateRunTest.kt
@@ -1,4 +1,8 @@
-/** Orders of events after which a task must not run a second time: what a leader does not know may still run. */
+/**
+ * Orders of events after which a task must not run a second time: what a leader does not know may still run.
+ *
+ * Time is virtual. Where a fault has to last, or a wrong start has to have had its chance, no condition ends the wait.
+ */
 package dev.bronzeshore.server.cluster
 
 import dev.bronzeshore.core.cluster.Tables
@@ -13,6 +17,23 @@
 private const val JOB = "00000000000000aa"
 private const val RUN_MS = 14_000L
 
+/** An outage in which an entry expires, and the time after it in which the entry may come back. */
+private const val OUTAGE_MS = 1_000L
+private const val RELISTING_MS = 4_000L
+
+/** Shorter than the leases of a worker that does not answer. */
+private const val SILENCE_MS = 2_000L
+
+/** Longer than the leases that a dead leader would have left. */
+private const val LONG_RECOVERY_MS = 8_000L
+
+/** Polls after which a report has been taken in. */
+private const val POLLS = 3
+
+/** Virtual time in which a wrong start would occur; the test checks that none does. */
+private const val OBSERVATION_MS = 5_000L
+private const val SHORT_OBSERVATION_MS = 1_000L
+
 /** The journal stores at most 90 jobs in one transaction. */
 private const val JOBS_BEYOND_A_BATCH = 120
 
@@ -26,11 +47,11 @@
         simulation.store.faults.isDown = true
         delay(300)
         simulation.unlist("w0")
-        delay(1_000)
+        delay(OUTAGE_MS)
         simulation.store.faults.isDown = false
-        delay(4_000)
+        delay(RELISTING_MS)
         simulation.workers.faults.unreachable += "w0"
-        delay(2_000)
+        delay(SILENCE_MS)
         simulation.workers.faults.unreachable.clear()
         delay(RUN_MS)
         assertNoViolations(simulation)
@@ -58,7 +79,7 @@
         simulation.store.faults.refusedCallers += "leader-1"
         simulation.store.faults.silentPartitions["leader-2"] = setOf("7")
         simulation.lead(pollDelayMs = { if (it == "w0") 300 else 0 })
-        delay(8_000)
+        delay(LONG_RECOVERY_MS)
         simulation.store.faults.silentPartitions.clear()
         delay(RUN_MS)
         assertNoViolations(simulation)
@@ -82,8 +103,9 @@
         simulation.workers.faults.malformedReports += "w0"
         simulation.unlist("w0")
         simulation.stopLeader()
+        val polls = simulation.pollsOfW0()
         simulation.lead()
-        delay(1_000)
+        awaitUntil { simulation.pollsOfW0() >= polls + POLLS }
         simulation.workers.faults.malformedReports.clear()
         delay(RUN_MS)
         assertNoViolations(simulation)
@@ -100,7 +122,7 @@
         simulation.stopLeader()
         awaitUntil { simulation.workers.checker.runningCount == 0 }
         simulation.lead()
-        delay(5_000)
+        delay(OBSERVATION_MS)
         assertNoViolations(simulation)
         assertEquals(1_200, simulation.workers.checker.starts)
     }
@@ -133,7 +155,7 @@
         simulation.stopLeader()
         simulation.store.faults.latencyMs = 4
         simulation.lead()
-        delay(1_000)
+        delay(SHORT_OBSERVATION_MS)
         simulation.workers.faults.unreachable.clear()
         delay(RUN_MS)
         assertNoViolations(simulation)
@@ -143,8 +165,9 @@
     @Test
     fun `a new leader waits for a draining worker that is unlisted before its first report`() = runTest {
         val simulation = simulationWithOneRunOnW0()
+        val rosterVersion = simulation.rosterVersion()
         simulation.workers.drain("w0")
-        delay(1_000)
+        awaitUntil { simulation.rosterVersion() != rosterVersion }
         simulation.stopLeader()
         simulation.lead(pollDelayMs = { if (it == "w0") 600 else 0 })
         delay(100)
@@ -164,7 +187,8 @@
         simulation.lead()
         simulation.awaitRoster()
         simulation.workers.faults.isRestartSilent = true
-        delay(2_000)
+        val polls = simulation.pollsOfW0()
+        awaitUntil { simulation.pollsOfW0() > polls }
         simulation.workers.restart("w0")
         simulation.submit(JOB, step(replicas = 1, cores = 8, durationMs = RUN_MS))
         awaitUntil { simulation.workers.checker.starts == 1 }
@@ -190,7 +214,8 @@
         simulation.store.put(Tables.progressRow(JOB), "not a progress row".toByteArray())
         simulation.lead()
         awaitUntil { simulation.workers.checker.runningCount == 0 }
-        delay(1_000)
+        val polls = simulation.pollsOfW0()
+        awaitUntil { simulation.pollsOfW0() >= polls + POLLS }
         simulation.stopLeader()
         simulation.store.put(Tables.progressRow(JOB), null)
         simulation.lead()
@@ -198,6 +223,8 @@
         assertNoViolations(simulation)
     }
 
+    private fun SchedulerSimulation.pollsOfW0(): Int = workers.polls["w0"] ?: 0
+
     private fun SchedulerSimulation.rosterVersion() =
         store.rowsOf(Tables.LEADER_STATE).first { it.id == Tables.ROSTER_ROW }.version
 
