--- a/review/harness-3/Deployment.java
+++ b/review/harness-3/Deployment.java
@@ -46,10 +46,12 @@
     final Path folder = Files.createTempDirectory("review-case");
     final List<Node> nodes = new ArrayList<>();
     private final int storePort;
-    private final Map<String, String> bounds = new HashMap<>();
+    private final Map<String, String> bounds = new HashMap<>(BOUNDS);
 
-    Deployment(int storePort, int count) throws Exception {
+    /** Processes with the bounds of the page of Kalinawan; otherBounds holds names and values that differ. */
+    Deployment(int storePort, int count, String... otherBounds) throws Exception {
         this.storePort = storePort;
+        for (int i = 0; i < otherBounds.length; i += 2) bounds.put(otherBounds[i], otherBounds[i + 1]);
         for (int i = 1; i <= count; i++) nodes.add(new Node("front-" + i));
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
@@ -58,8 +60,7 @@
         return folder.resolve(node.name + ".log").toFile();
     }
 
-    /** The bounds of the two small sites' pages, and a lease of 6 s. */
-    static final Map<String, String> BOUNDS = Map.of(
+    private static final Map<String, String> BOUNDS = Map.of(
         "max_hold_ms", "6000", "kill_grace_ms", "900", "gang_wait_ms", "3000", "grace_s", "6", "status_s", "120",
         "early_ms", "250", "remote_factor", "1.5");
 
@@ -80,7 +81,7 @@
             "platform.address", "\"127.0.0.1:" + storePort + '"'));
         values.putAll(Map.of("hint", "null", "limits.cpu_share", "1.0", "limits.num_cores", "1",
             "limits.memory_mb", "820", "limits.link_mbps", "1000.0", "heartbeat_ms", "1500"));
-        BOUNDS.forEach((key, value) -> values.put("bounds." + key, value));
+        bounds.forEach((key, value) -> values.put("bounds." + key, value));
         Matcher matcher = Pattern.compile("\\{\\{([a-z_.0-9]+)(\\|json)?}}").matcher(text);
         return matcher.replaceAll(found -> {
             String value = values.get(found.group(1));
--- a/review/harness-3/Http.java
+++ b/review/harness-3/Http.java
@@ -80,7 +80,8 @@
             byte[] bytes = body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8);
             String head = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n"
                 + "Bronzeshore-Deadline: " + timeoutMs + "\r\n"
-                + (body == null ? "" : "Content-Type: application/json\r\nContent-Length: " + bytes.length + "\r\n") + "\r\n";
+                + (method.equals("GET") ? "" : "Content-Type: application/json\r\nContent-Length: " + bytes.length + "\r\n")
+                + "\r\n";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
             socket.getOutputStream().write(bytes);
             socket.getOutputStream().flush();
