--- a/review/harness-3/Minion.java
+++ b/review/harness-3/Minion.java
@@ -146,6 +146,10 @@
         return !running.isEmpty();
     }
 
+    synchronized int count() {
+        return running.size();
+    }
+
     private Http.Answer handle(Http.Request request) throws Exception {
         if (!id.equals(request.target())) return new Http.Answer(421, "{}");
         Map<String, Object> body = Json.object(request.body());
