--- a/review/11/ReservedForNothing.java
+++ b/review/11/ReservedForNothing.java
@@ -1,5 +1,4 @@
 // A gang that can never be done, and then a sound submission of two steps. All minions but one stay idle.
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -18,8 +17,10 @@
     private static final long FIRST_STEP_MS = 6_000;
 
     public static void main(String[] arguments) throws Exception {
-        Record.open(Path.of(arguments[0], "record.txt"));
-        boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+        Case.run(arguments, ReservedForNothing::play);
+    }
+
+    private static int play(boolean hasTrouble) throws Exception {
         Store store = new Store(Http.freePort());
         store.put("op", "config", Deployment.config(3));
         List<Minion> minions = new ArrayList<>();
@@ -27,12 +28,9 @@
             minions.add(new Minion(store, "m" + i, "r1", 6_000, (task, run) ->
                 new Minion.Work(task.startsWith(ID + ".0.0.") ? FIRST_STEP_MS : ESTIMATE_MS, "done")));
         }
-        int result;
         try (Deployment system = new Deployment(store.port(), 2)) {
-            result = system.start() ? run(system, minions, hasTrouble) : 2;
+            return system.start() ? run(system, minions, hasTrouble) : 2;
         }
-        Record.line("result " + result);
-        Runtime.getRuntime().halt(result);
     }
 
     private static int run(Deployment system, List<Minion> minions, boolean hasTrouble) throws Exception {
--- a/review/harness-3/Deployment.java
+++ b/review/harness-3/Deployment.java
@@ -137,6 +137,7 @@
         return null;
     }
 
+    /** Ends all processes, and deletes their settings and logs unless `KEEP_LOGS` is set. */
     @Override
     public void close() {
         for (Node node : nodes) {
@@ -148,5 +149,9 @@
                 Thread.currentThread().interrupt();
             }
         }
+        File[] files = folder.toFile().listFiles();
+        if (files == null || System.getenv("KEEP_LOGS") != null) return;
+        for (File file : files) file.delete();
+        folder.toFile().delete();
     }
 }
