Bound in time what is kept for gangs that wait

Cause: capacity was kept, without an end, for work that does not start. Whether a gang fits was judged by capacity alone, while its placement also knows a limit for each worker; runs that never end counted as room; and the bound of 5 s lowered the gang's rank only, so that whatever ranks behind it waited for ever. The same holds for what is kept of a client account's limit, for tasks that wait for tickets, and for workers that a gang reserves for its suspected members while the others have no room.

Change: backfilling with a reservation in time. One function says how many tasks of a step fit on a worker, for placing as for reserving. A gang reserves places from the time at which the last of them is expected to be free, no more than it needs, and nothing if it does not fit or if that time is not known. Tasks that are likely to end before it may use the places. A reservation has an end and a pause after it, with which a new leader begins. A step that kept capacity alone keeps from starting uses it after 2 s unless half of the service is in use; services do so always. Reservations say in the log who holds what until when; gangs that do not fit are logged and counted.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AccountBudget.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AccountBudget.kt
@@ -20,10 +20,17 @@
 ) {
     private val left = HashMap<String, Resources>()
 
-    /** Number of tasks of the step that may start within the account's limit. */
-    fun placesFor(step: TrackedStep): Int {
+    /** What is kept of an account's budget for starts that wait. */
+    private val kept = HashMap<String, Resources>()
+
+    /**
+     * Number of tasks of the step that may start within the account's limit; with [usesKept], also within what is kept
+     * for others.
+     */
+    fun placesFor(step: TrackedStep, usesKept: Boolean = false): Int {
         val account = accountOf(step) ?: return Int.MAX_VALUE
-        return step.accountDemand.countIn(leftOf(account))
+        val keptOfAccount = kept[account.name]?.takeUnless { usesKept } ?: Resources.NONE
+        return step.accountDemand.countIn(leftOf(account) - keptOfAccount)
     }
 
     /** Takes [count] tasks of the step from its account's budget. */
@@ -32,15 +39,25 @@
         left[account.name] = leftOf(account) - step.accountDemand * count
     }
 
+    /** Keeps a part of the account's budget for [count] tasks of the step, which wait for workers. */
+    fun keep(step: TrackedStep, count: Int) {
+        accountOf(step)?.let { kept.merge(it.name, step.accountDemand * count, Resources::plus) }
+    }
+
     /** True if the account's limit is too low for all [count] tasks of the step together. */
-    fun isBeyondLimit(step: TrackedStep, count: Int): Boolean {
-        val account = accountOf(step) ?: return false
-        return step.accountDemand.countIn(account.limit) < count
+    fun isBeyondLimit(step: TrackedStep, count: Int): Boolean = countIn(step, Resources.NONE) < count
+
+    /** True if [count] tasks of the step fit in what the account has beside the runs whose end is not known. */
+    fun fitsBeside(step: TrackedStep, count: Int, endless: Resources): Boolean = countIn(step, endless) >= count
+
+    private fun countIn(step: TrackedStep, used: Resources): Int {
+        val account = accountOf(step) ?: return Int.MAX_VALUE
+        return step.accountDemand.countIn(account.limit - used)
     }
 
     /** Keeps what is left of the account's limit from the steps that are placed later in the round. */
-    fun hold(step: TrackedStep) {
-        accountOf(step)?.let { left[it.name] = Resources.NONE }
+    fun keepAll(step: TrackedStep) {
+        accountOf(step)?.let { kept[it.name] = leftOf(it) }
     }
 
     private fun accountOf(step: TrackedStep): ClientAccount? = step.job.accepted.account?.let { accounts?.named(it) }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashTrials.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CrashTrials.kt
@@ -54,7 +54,8 @@
     /**
      * Reserves one of [candidates] for suspected tasks of [step], unless one that is reserved for them is not ready.
      * The stored roster says so before a task starts there, so that a takeover does not hide a crash. Suspected members
-     * of a gang start together, so workers for all of them are reserved, or none.
+     * of a gang start together, so workers for all of them are reserved, or none; none either if there is no room for
+     * the other members now.
      */
     fun reserve(candidates: List<PlacementCandidate>, step: TrackedStep, now: Long) {
         val job = step.job
@@ -64,18 +65,28 @@
         val usable = candidates.filter { it.hasRoom }
         val free = usable.filter { it.target.worker.trial == null }
             .sortedWith(compareBy({ isUnstable(it.target.worker, now) }, { it.target.worker.placements.size }))
-        val chosen = if (step.description.isGang) {
-            val reservedPlaces = usable.filter { it.target.worker.trial?.job === job }.sumOf { it.places.toLong() }
-            takePlaces(free, step.tasks.count { it.crashes.isSuspected } - reservedPlaces)
-        } else {
-            free.take(1)
-        }
+        val chosen = if (step.description.isGang) placesOfGang(usable, free, step) else free.take(1)
         for (worker in chosen.map { it.target.worker }) {
             reserve(worker, job, now)
             requestProof(worker)
         }
     }
 
+    /** Workers for the suspected members, such that those left over have room for the others. */
+    private fun placesOfGang(
+        usable: List<PlacementCandidate>,
+        free: List<PlacementCandidate>,
+        step: TrackedStep,
+    ): List<PlacementCandidate> {
+        val (suspected, others) = step.tasks.partition { it.crashes.isSuspected }
+        val reservedPlaces = usable.filter { it.target.worker.trial?.job === step.job }.sumOf { it.places.toLong() }
+        val placesOfAll = free.sumOf { it.places.toLong() }
+        return listOf(free, free.sortedBy { it.places })
+            .map { takePlaces(it, suspected.size - reservedPlaces) }
+            .firstOrNull { chosen -> placesOfAll - chosen.sumOf { it.places.toLong() } >= others.size }
+            .orEmpty()
+    }
+
     /** The first of [candidates] that have [needed] places together; empty if all of them have fewer. */
     private fun takePlaces(candidates: List<PlacementCandidate>, needed: Long): List<PlacementCandidate> {
         var missing = needed
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/LeaderTermRunner.kt
@@ -117,7 +117,7 @@
             plan.starts.forEach(starter::start)
             advice.ask(plan.adviceNeeds)
             val durationMs = context.clock() - startedAtMs
-            context.metrics.planningRound(durationMs)
+            context.metrics.planning.round(durationMs)
             delay(maxOf(ROUND_PAUSE_MS, PAUSE_PER_ROUND_TIME * durationMs))
         }
     }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlacementCandidate.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlacementCandidate.kt
@@ -13,9 +13,6 @@
  */
 private const val MIN_SLACK_FACTOR = 1.8
 
-/** Factor by which run times often exceed their estimates. */
-private const val ESTIMATE_MARGIN = 1.6
-
 /** Shorter estimates are raised to this: the start request and the report alone take tens of milliseconds. */
 private const val MIN_CRITICAL_PATH_MS = 300L
 
@@ -37,7 +34,7 @@
         val worker = target.worker
         val isRemote = step.description.dataRack?.let { it !in worker.entry.labels } ?: false
         val needsTicket = ticketWaitCost > 0 && !step.advice.hasOrExpectsTicket(worker.incarnation, now)
-        val isReserved = target.reservedFor != null && target.reservedFor !== step
+        val isReserved = target.reservedFor.any { it !== step }
         return speedCost(target.slowness) + (if (isRemote) REMOTE_WEIGHT else 0.0) +
             (if (needsTicket) ticketWaitCost else 0.0) + (if (isReserved) RESERVED_WEIGHT else 0.0)
     }
@@ -61,12 +58,13 @@
     } ?: 0.0
 }
 
-internal class PlacementCandidate(val target: RoundWorker, step: TrackedStep) {
+/** [usesKept] if the step may use capacity that is kept for others. */
+internal class PlacementCandidate(val target: RoundWorker, step: TrackedStep, usesKept: Boolean = false) {
     private val demand = step.taskDemand
     private val capacityMillicores = target.worker.entry.capacity.processorsMillicores.coerceAtLeast(1).toDouble()
 
     /** Tasks of the step that the worker takes. */
-    val places = minOf(demand.countIn(target.free), placesLeft(step))
+    val places = target.placesFor(step, target.roomFor(step, usesKept))
     private var taken = 0
     var baseCost = 0.0
 
@@ -76,16 +74,15 @@
         taken++
     }
 
+    /** Forgets what was taken, for another try. */
+    fun release() {
+        taken = 0
+    }
+
     /** The cost favours workers on which little capacity stays unused. */
     fun costFor(task: TrackedTask): Double {
         val leftOver = target.free.processorsMillicores - (taken + 1) * demand.processorsMillicores
         return baseCost + leftOver / capacityMillicores +
             (if (target.worker.id in task.failedOn) FAILED_BEFORE_WEIGHT else 0.0)
     }
-
-    /** Tasks of the step that may still be placed on the worker beside those that are there. */
-    private fun placesLeft(step: TrackedStep): Int {
-        val limit = step.description.maxPerWorker.takeIf { it > 0 } ?: return Int.MAX_VALUE
-        return limit - step.tasks.count { it.placement?.worker === target.worker }
-    }
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -1,18 +1,6 @@
 /** Places the waiting steps of one planning round, one after the other. */
 package dev.bronzeshore.scheduler
 
-/** Gangs may reserve this share of a service's workers; more would leave too much capacity idle. */
-private const val MAX_RESERVED_SHARE = 0.25
-
-/** On a small fleet, so many gangs may reserve capacity whatever their share is. */
-private const val MIN_GANG_RESERVATIONS = 3
-
-/**
- * Time for which a waiting gang keeps its rank although it has become late. Without it, capacity that the gang had
- * partly collected goes to newer small tasks, and a gang never starts while all workers are busy.
- */
-private const val GANG_RESERVATION_MS = 5_000L
-
 /** A step that can partly start does not ask about fewer new workers than this: most of a call's cost is fixed. */
 private const val MIN_WORTH_ASKING = 4
 
@@ -31,16 +19,15 @@
 ) {
     private val workersByService = HashMap<String, List<RoundWorker>>()
     private val tasksWithStrayRuns = context.workerPool.tasksWithStrayRuns()
-    private var gangReservations = 0
-    private val reservedWorkers = HashMap<String, Int>()
-    val gangWaits = HashMap<GangWait, Int>()
+    private val keeper = CapacityKeeper(context, now, budget)
+    val gangWaits: Map<GangWait, Int> get() = keeper.gangWaits
     val starts = ArrayList<PlannedStart>()
 
     fun place(step: TrackedStep) {
         val startable = step.pendingTasks.filter { it.notBeforeMs <= now && it.name !in tasksWithStrayRuns }
         if (startable.isEmpty() || step.description.isGang && startable.size < step.tasks.size) return
         if (cannotAskYet(step, startable.size)) {
-            if (step.description.isGang) countWait(GangWait.ADVICE)
+            if (step.description.isGang) keeper.countWait(step, GangWait.ADVICE)
             return
         }
         val workers = workersFor(step)
@@ -48,7 +35,7 @@
         val tasks = withinLimit(step, startable, good)
         if (tasks.isNotEmpty()) return place(step, tasks, workers, good)
         // A step that waits for its account's limit gets its advice meanwhile.
-        if (step.needsAdvice && !knowsRoomFor(step, startable.size, good)) {
+        if (step.needsAdvice && !fitsEventually(step, startable.size, good)) {
             explore(step, startable.size, startable.size, workers, good)
         }
     }
@@ -63,17 +50,35 @@
         workers: List<RoundWorker>,
         good: List<RoundWorker>,
     ) {
-        val assignments = assign(step, tasks, good)
+        var assignments = assign(step, tasks, good)
+        if (assignments.size < tasks.size && mayUseKept(step, tasks.size, good)) {
+            assignments = assign(step, tasks, good, usesKept = true)
+        }
         reserveForTrials(step, tasks, good, assignments)
         val missing = tasks.size - assignments.size
         if (missing > 0 && step.needsAdvice) explore(step, tasks.size, missing, workers, good)
         when {
             missing == 0 -> startOrRenew(step, assignments)
-            step.description.isGang -> reserveForGang(step, tasks.size, good)
+            step.description.isGang -> reserveForGang(step, tasks.size, workers, good)
             assignments.isNotEmpty() -> startOrRenew(step, assignments)
         }
     }
 
+    /** True if the step has waited long enough for capacity that is kept for others alone. */
+    private fun mayUseKept(step: TrackedStep, count: Int, good: List<RoundWorker>): Boolean {
+        val keeping = good.filter { it.keptFor.isNotEmpty() }
+        if (keeping.isEmpty()) return false
+        val withKept = keeping.filter { it.placesFor(step, it.free) > it.placesFor(step, it.roomFor(step)) }
+        val isKeptOut = if (step.description.isGang) {
+            good.sumOf { it.placesFor(step, it.free).coerceIn(0, count).toLong() } >= count
+        } else {
+            withKept.isNotEmpty()
+        }
+        if (!isKeptOut || !keeper.hasWaitedEnough(step, workersOf(step.job.terms.service))) return false
+        keeper.logUseOfKept(step, withKept)
+        return true
+    }
+
     /**
      * The tasks that may start within the limit of the step's account; none of a gang if not all may.
      *
@@ -82,15 +87,18 @@
      * know enough workers yet keeps nothing, because the rest would lie idle until it does.
      */
     private fun withinLimit(step: TrackedStep, tasks: List<TrackedTask>, good: List<RoundWorker>): List<TrackedTask> {
+        val isGang = step.description.isGang
         val places = budget.placesFor(step)
         if (places >= tasks.size) return tasks
-        step.logLimit(context, isTooLow = step.description.isGang && budget.isBeyondLimit(step, tasks.size))
-        if (!step.description.isGang) return tasks.take(places)
-        countWait(GangWait.LIMIT)
-        if (!budget.isBeyondLimit(step, tasks.size) && knowsRoomFor(step, tasks.size, good)) {
-            step.reserve(now + GANG_RESERVATION_MS)
-            budget.hold(step)
+        val placesWithKept = budget.placesFor(step, usesKept = true)
+        val isKeptOut = if (isGang) placesWithKept >= tasks.size else placesWithKept > places.coerceAtLeast(0)
+        if (isKeptOut && keeper.hasWaitedEnough(step, workersOf(step.job.terms.service))) {
+            return tasks.take(placesWithKept)
         }
+        step.logLimit(context, isTooLow = isGang && budget.isBeyondLimit(step, tasks.size))
+        if (!isGang) return tasks.take(places)
+        keeper.countWait(step, GangWait.LIMIT)
+        if (fitsEventually(step, tasks.size, good)) keeper.keepLimit(step, tasks.size)
         return emptyList()
     }
 
@@ -108,7 +116,7 @@
 
     private fun workersOf(service: String) = workersByService.getOrPut(service) {
         val pool = context.workerPool
-        pool.accepting(service, now).map { RoundWorker(it, pool.speeds.slownessOf(it)) }.sortedBy { it.slowness }
+        pool.accepting(service, now).map { RoundWorker(it, pool.speeds.slownessOf(it), now) }.sortedBy { it.slowness }
     }
 
     /**
@@ -117,20 +125,32 @@
      * A gang keeps to workers whose tickets it has or expects if there are enough of them. Otherwise cheaper workers
      * that become free while the tickets are renewed would take their place, and need new tickets in turn.
      */
-    private fun assign(step: TrackedStep, tasks: List<TrackedTask>, good: List<RoundWorker>): List<Assignment> {
+    private fun assign(
+        step: TrackedStep,
+        tasks: List<TrackedTask>,
+        good: List<RoundWorker>,
+        usesKept: Boolean = false,
+    ): List<Assignment> {
         val free = good.filter { step.taskDemand.fitsIn(it.free) }
+            .map { PlacementCandidate(it, step, usesKept) }
+            .filter { it.places > 0 }
         if (step.description.isGang && step.needsAdvice) {
-            val withTicket = free.filter { step.advice.hasOrExpectsTicket(it.worker.incarnation, now) }
+            val withTicket = free.filter { step.advice.hasOrExpectsTicket(it.target.worker.incarnation, now) }
             assignAmong(withTicket, step, tasks).takeIf { it.size == tasks.size }?.let { return it }
+            free.forEach { it.release() }
         }
         return assignAmong(free, step, tasks)
     }
 
-    private fun assignAmong(free: List<RoundWorker>, step: TrackedStep, tasks: List<TrackedTask>): List<Assignment> {
-        val unreserved = free.filter { it.worker.trial == null }
+    private fun assignAmong(
+        free: List<PlacementCandidate>,
+        step: TrackedStep,
+        tasks: List<TrackedTask>,
+    ): List<Assignment> {
+        val unreserved = free.filter { it.target.worker.trial == null }
         if (tasks.none { it.crashes.isSuspected }) return assignCheapest(unreserved, step, tasks)
         val (suspected, others) = tasks.partition { it.crashes.isSuspected }
-        val onTrial = assignCheapest(free.filter { trials.admits(it.worker, step.job) }, step, suspected)
+        val onTrial = assignCheapest(free.filter { trials.admits(it.target.worker, step.job) }, step, suspected)
         return onTrial + assignCheapest(unreserved, step, others)
     }
 
@@ -146,11 +166,10 @@
     }
 
     private fun assignCheapest(
-        free: List<RoundWorker>,
+        candidates: List<PlacementCandidate>,
         step: TrackedStep,
         tasks: List<TrackedTask>,
     ): List<Assignment> {
-        val candidates = free.map { PlacementCandidate(it, step) }
         if (candidates.isEmpty()) return emptyList()
         val costs = PlacementCosts(step, now)
         candidates.forEach { it.baseCost = costs.baseCost(it.target) }
@@ -173,7 +192,7 @@
     ) {
         if (!step.advice.mayAsk(now) || adviceNeeds.isFull(lengthOfCall(step, pending))) return
         val unasked = workers.filter { !step.advice.isAsked(it.worker.incarnation) }
-        val (withRoom, withoutRoom) = unasked.partition { step.taskDemand.fitsIn(it.free) }
+        val (withRoom, withoutRoom) = unasked.partition { step.taskDemand.fitsIn(it.roomFor(step)) }
         val share = context.adviceShares.goodShare(step.job.terms.queue)
         if (step.advice.isKnown &&
             !isWorthAsking(step, missing, withRoom, share) &&
@@ -195,13 +214,13 @@
     /** True if the new workers with room are expected to help: a gang needs places for all missing members. */
     private fun isWorthAsking(step: TrackedStep, missing: Int, withRoom: List<RoundWorker>, share: Double): Boolean {
         if (!step.description.isGang) return withRoom.size >= minOf(MIN_WORTH_ASKING, missing)
-        return share * withRoom.sumOf { step.taskDemand.countIn(it.free).coerceAtMost(missing) } >= missing
+        return share * withRoom.sumOf { it.placesFor(step, it.roomFor(step)).coerceAtMost(missing) } >= missing
     }
 
     /** True if the step can wait for the workers that it knows; a gang needs some choice among them. */
     private fun hasEnoughGood(step: TrackedStep, good: List<RoundWorker>): Boolean {
         val wanted = if (step.description.isGang) ENOUGH_KNOWN * step.tasks.size else 1.0
-        return good.sumOf { it.fittingWhenIdle(step, step.tasks.size) } >= wanted
+        return good.sumOf { it.placesFor(step, it.eventualRoom).coerceIn(0, step.tasks.size) } >= wanted
     }
 
     /**
@@ -216,17 +235,21 @@
         if (expiring.isNotEmpty()) adviceNeeds.add(AdviceNeed(step, expiring))
     }
 
-    /** Starts the tasks with valid tickets and reserves the capacity of the others until their tickets arrive. */
+    /** Starts the tasks with valid tickets and keeps the capacity of the others until their tickets arrive. */
     private fun startOrRenew(step: TrackedStep, assignments: List<Assignment>) {
-        assignments.forEach { it.target.reserve(step.taskDemand) }
-        budget.take(step, assignments.size)
-        val ready = assignments.filter {
+        val (ready, withoutTicket) = assignments.partition {
             !step.needsAdvice || step.advice.ticketFor(it.target.worker.incarnation, now) != null
         }
-        if (ready.size < assignments.size) {
+        if (withoutTicket.isNotEmpty()) {
             renewTickets(step, assignments.map { it.target })
-            if (step.description.isGang) return countWait(GangWait.TICKETS)
+            val waiting = if (step.description.isGang) assignments else withoutTicket
+            waiting.forEach { it.target.keep(step, count = 1) }
+            budget.keep(step, waiting.size)
+            if (step.description.isGang) return keeper.countWait(step, GangWait.TICKETS)
         }
+        ready.forEach { it.target.take(step) }
+        budget.take(step, ready.size)
+        step.reservations?.end()
         val gangRun = maxOf(step.tasks.maxOf { it.lastRun } + 1, firstRunNumber)
         ready.mapTo(starts) {
             val run = if (step.description.isGang) gangRun else maxOf(it.task.lastRun + 1, firstRunNumber)
@@ -235,43 +258,20 @@
         }
     }
 
-    /** Reserves free capacity for a gang that does not fit now but would fit on the good workers when idle. */
-    private fun reserveForGang(step: TrackedStep, count: Int, good: List<RoundWorker>) {
-        val service = step.job.terms.service
-        val reserved = reservedWorkers[service] ?: 0
-        val isShareUsed = reserved >= MAX_RESERVED_SHARE * workersOf(service).size
-        if (!knowsRoomFor(step, count, good)) return countWait(GangWait.ADVICE)
-        if (gangReservations >= MIN_GANG_RESERVATIONS && isShareUsed) return countWait(GangWait.SHARE)
-        countWait(GangWait.WORKERS)
-        gangReservations++
-        budget.take(step, count)
-        step.reserve(now + GANG_RESERVATION_MS)
-        val chosen = ArrayList<RoundWorker>()
-        var unplaced = count
-        for (target in good.sortedBy { it.reservationCost(step) }) {
-            if (unplaced <= 0) break
-            unplaced -= target.fittingWhenIdle(step, unplaced)
-            target.reserveFor(step)
-            chosen += target
-            reservedWorkers.merge(service, 1, Int::plus)
-        }
-        if (step.needsAdvice) renewTicketsAhead(step, chosen)
-    }
-
-    /** Asks for the tickets so early that they arrive when the workers are free; otherwise these lie idle meanwhile. */
-    private fun renewTicketsAhead(step: TrackedStep, targets: List<RoundWorker>) {
+    /** Reserves capacity for a gang that does not fit now, if it is known when it will. */
+    private fun reserveForGang(step: TrackedStep, count: Int, workers: List<RoundWorker>, good: List<RoundWorker>) {
+        val isAdviceMissing = step.needsAdvice && workers.any { !step.advice.isAsked(it.worker.incarnation) }
+        if (isAdviceMissing && !fitsEventually(step, count, good)) return keeper.countWait(step, GangWait.ADVICE)
+        val usable = good.filter { it.worker.trial.let { trial -> trial == null || trial.job === step.job } }
+        val places = keeper.reserve(step, count, usable, workersOf(step.job.terms.service).size)
+        if (places.isEmpty() || !step.needsAdvice) return
+        // Tickets that are asked for so early arrive when the workers are free; otherwise these lie idle meanwhile.
+        val targets = places.map { it.target }.distinct()
         val callMs = step.job.terms.advice?.durationMs(targets.size) ?: 0
-        if (targets.maxOf { it.idleAtMs(now) } <= now + callMs) renewTickets(step, targets)
+        if (places.maxOf { it.atMs } <= now + callMs) renewTickets(step, targets)
     }
 
-    private fun countWait(reason: GangWait) {
-        gangWaits.merge(reason, 1, Int::plus)
-    }
-
-    /** True if [count] tasks of the step fit on the workers that may run it, once these are idle. */
-    private fun knowsRoomFor(step: TrackedStep, count: Int, good: List<RoundWorker>): Boolean =
-        good.sumOf { it.fittingWhenIdle(step, count).toLong() } >= count
-
-    private fun RoundWorker.fittingWhenIdle(step: TrackedStep, limit: Int): Int =
-        step.taskDemand.countIn(worker.entry.capacity).coerceAtMost(limit)
+    /** True if [count] tasks of the step fit on the workers that may run it, once the runs there have ended. */
+    private fun fitsEventually(step: TrackedStep, count: Int, good: List<RoundWorker>): Boolean =
+        good.sumOf { it.placesFor(step, it.eventualRoom).coerceIn(0, count).toLong() } >= count
 }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/SchedulerMetrics.kt
@@ -20,6 +20,13 @@
     public val rowRefused: (table: String) -> Unit = {},
 )
 
+/** What planning counts. */
+public class PlanningMetrics(
+    public val round: (durationMs: Long) -> Unit = {},
+    /** A gang was found that the workers cannot hold even when they are idle. */
+    public val gangWithoutRoom: () -> Unit = {},
+)
+
 public class SchedulerMetrics(
     public val start: (result: String) -> Unit = {},
     public val end: (kind: String) -> Unit = {},
@@ -29,7 +36,7 @@
     /** Time from acceptance to the end of a job, by queue and phase. */
     public val jobEnded: (queue: String, phase: String, durationMs: Long) -> Unit = { _, _, _ -> },
     public val advice: (outcome: String) -> Unit = {},
-    public val planningRound: (durationMs: Long) -> Unit = {},
+    public val planning: PlanningMetrics = PlanningMetrics(),
     /** An unexpected error ended a piece of work, named by the argument. */
     public val unexpectedError: (work: String) -> Unit = {},
     /** A stored row, or a part of a worker's report, could not be decoded. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepOrder.kt
@@ -35,7 +35,7 @@
     val objectiveEndMs = dueMs + objectiveDurationMs
     val endsMs = nowMs + job.remainingCriticalPathMs(step)
     val lateness = when {
-        step.description.isService || nowMs < (step.reservedUntilMs ?: Long.MIN_VALUE) -> Lateness.IN_TIME
+        step.description.isService || nowMs < (step.keepsRankUntilMs ?: Long.MIN_VALUE) -> Lateness.IN_TIME
         endsMs <= objectiveEndMs + LATENESS_TOLERANCE_MS -> Lateness.IN_TIME
         endsMs <= dueMs + WORTHLESS_AFTER * objectiveDurationMs -> Lateness.LATE
         else -> Lateness.WORTHLESS
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedJob.kt
@@ -46,6 +46,9 @@
     var savedPhase: JobPhase = JobPhase.PENDING
         private set
 
+    /** How long ago the job had been accepted when this leader learned of it. */
+    val ageWhenKnownMs: Long get() = (knownAtMs - acceptedAtMs).coerceAtLeast(0)
+
     val occurrences = JobOccurrences(this)
 
     /** Steps of the open occurrences, in the order of the occurrences. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedStep.kt
@@ -7,6 +7,15 @@
 import dev.bronzeshore.core.cluster.StepName
 import dev.bronzeshore.core.cluster.StepProgress
 
+/**
+ * Time for which a waiting gang keeps its rank although it has become late. Without it, capacity that the gang had
+ * partly collected goes to newer small tasks, and a gang never starts while all workers are busy.
+ */
+private const val RANK_KEPT_MS = 5_000L
+
+/** Longest interruption of the time for which a step is kept from starting. */
+private const val KEPT_OUT_GAP_MS = 500L
+
 internal class TrackedStep(val job: TrackedJob, val occurrence: Int, val number: Int) {
     val description: StepDescription = job.accepted.description.steps[number]
     val name = StepName(job.accepted.jobId, occurrence, number)
@@ -16,15 +25,41 @@
     /** Runs of the gang in which a member failed. */
     private val failedGangRuns = HashSet<Long>()
 
+    /** Reservations of capacity for the step; null if it is not a gang. */
+    val reservations: GangReservations? = if (description.isGang) GangReservations(job) else null
+
     /** Monotonic time until which a gang that waits for capacity keeps its rank even if it is late. */
-    var reservedUntilMs: Long? = null
+    var keepsRankUntilMs: Long? = null
         private set
 
-    /** Starts the reservation of a gang; it is not renewed, so that the gang cannot block other work for ever. */
-    fun reserve(untilMs: Long) {
-        if (reservedUntilMs == null) reservedUntilMs = untilMs
+    /**
+     * Keeps the rank of a gang for a time that is not renewed, so that it does not go before other work for ever. The
+     * time under former leaders counts.
+     */
+    fun keepRank(now: Long) {
+        if (keepsRankUntilMs == null) keepsRankUntilMs = now + RANK_KEPT_MS - job.ageWhenKnownMs
     }
 
+    /** Since when the step could start if no capacity were kept for others, and when that was last so. */
+    private var keptOutSinceMs = Long.MIN_VALUE
+    private var keptOutAtMs: Long? = null
+
+    /**
+     * Notes that only capacity which is kept for others keeps the step from starting; returns for how long. Short
+     * interruptions do not end that time, and the time under former leaders counts.
+     */
+    fun noteKeptOut(now: Long): Long {
+        val goesOn = keptOutAtMs?.let { now - it <= KEPT_OUT_GAP_MS } ?: false
+        if (!goesOn) keptOutSinceMs = now - job.ageWhenKnownMs
+        keptOutAtMs = now
+        return now - keptOutSinceMs
+    }
+
+    private var loggedWait: GangWait? = null
+
+    /** True if [wait] is not the reason that was logged last. */
+    fun isNewWait(wait: GangWait?): Boolean = (wait != loggedWait).also { loggedWait = wait }
+
     private var hasLoggedLimit = false
 
     /** Logs once that the step waits for its account's limit; [isTooLow] if it cannot start under this limit at all. */
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/TrackedWorker.kt
@@ -110,8 +110,8 @@
     /** Job for whose suspected tasks a former leader had reserved the worker; it matters until the worker answers. */
     var formerTrialJob: String? = null
 
-    /** The gang that reserved this worker in the last planning round. */
-    private var reservedFor: TrackedStep? = null
+    /** The gangs that reserved this worker in the last planning round. */
+    private var reservedFor: Set<TrackedStep> = emptySet()
 
     /** Jobs whose tasks failed here since the last success. */
     val failedJobs = HashSet<String>()
@@ -122,13 +122,13 @@
 
     /** Notes that a planning round has reserved this worker for [gang]. */
     fun reserveFor(gang: TrackedStep) {
-        reservedFor = gang
+        reservedFor += gang
     }
 
-    val isReserved: Boolean get() = reservedFor != null
+    val isReserved: Boolean get() = reservedFor.isNotEmpty()
 
-    /** The gang of the last reservation, which the next planning round renews or drops. */
-    fun takeReservation(): TrackedStep? = reservedFor.also { reservedFor = null }
+    /** The gangs of the last reservations, which the next planning round renews or drops. */
+    fun takeReservations(): Set<TrackedStep> = reservedFor.also { reservedFor = emptySet() }
 
     /** Notes a report of this incarnation that arrived at [nowMs], with the time of the worker's clock. */
     fun recordReport(nowMs: Long, workerMs: Long) {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/UnknownUsage.kt
@@ -46,9 +46,3 @@
     if (count > 0 && amount > (MAX_AMOUNT - sum) / count) MAX_AMOUNT else sum + amount * count
 
 private val TrackedTask.isUnplaced: Boolean get() = !isDone && placement == null
-
-private fun Resources.atMost(other: Resources) = Resources(
-    minOf(processorsMillicores, other.processorsMillicores),
-    minOf(memoryBytes, other.memoryBytes),
-    minOf(accelerators, other.accelerators),
-)
--- a/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
+++ b/server/src/main/kotlin/dev/bronzeshore/server/cluster/ClusterMetrics.kt
@@ -4,6 +4,7 @@
 import dev.bronzeshore.scheduler.JournalMetrics
 import dev.bronzeshore.scheduler.LossMetrics
 import dev.bronzeshore.scheduler.MemoryUse
+import dev.bronzeshore.scheduler.PlanningMetrics
 import dev.bronzeshore.scheduler.SchedulerMetrics
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
@@ -42,6 +43,10 @@
         counter("bronzeshore_unexpected_errors_total", "Pieces of work that an unexpected error ended.", "work")
     private val malformed = counter("bronzeshore_malformed_total", "Input that could not be decoded.", "input")
     private val refusedRows = counter("bronzeshore_refused_rows_total", "Rows that the store does not take.", "table")
+    private val gangsWithoutRoom = counter(
+        "bronzeshore_gangs_without_room_total",
+        "Gangs that the workers cannot hold even when they are idle.",
+    )
     private val planningRounds = histogram("bronzeshore_planning_round_seconds", "Time of a planning round.")
     private val jobs =
         histogram("bronzeshore_job_seconds", "Time from acceptance to the end of a job.", "queue", "phase")
@@ -84,7 +89,10 @@
         ),
         jobEnded = { queue, phase, ms -> jobs.labelValues(queue, phase).observe(ms / MS_PER_SECOND) },
         advice = { advice.labelValues(it).inc() },
-        planningRound = { planningRounds.observe(it / MS_PER_SECOND) },
+        planning = PlanningMetrics(
+            round = { planningRounds.observe(it / MS_PER_SECOND) },
+            gangWithoutRoom = { gangsWithoutRoom.inc() },
+        ),
         unexpectedError = { unexpectedErrors.labelValues(it).inc() },
         malformedInput = { malformed.labelValues(it).inc() },
         invariantBroken = { invariantViolations.inc() },
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -57,6 +57,7 @@
 internal val WORKER_CAPACITY = Resources(16_000, 32_000)
 private const val WORKER_TABLE = "workers"
 private const val ADVICE_CALLERS = 20
+private const val ADVICE_POLL_MS = 50L
 private const val ELIGIBLE_WORKER_EVERY = 3
 
 internal fun boundsForTests() = ClusterBounds(
@@ -73,17 +74,23 @@
 internal class SchedulerSimulation(private val scope: TestScope, seed: Long, workerCount: Int = 6) {
     val random = Random(seed)
     val store = StoreStandIn(random, scope.backgroundScope, ::nowMs)
-    private val durations = HashMap<String, Long>()
+
+    /** Run times that differ from the estimates. */
+    val runTimesMs = HashMap<StepName, Long>()
     private val accepted = LinkedHashMap<String, AcceptedJob>()
     val workers = WorkersStandIn(random, scope.backgroundScope, ::nowMs, SERVICE, WORKER_CAPACITY) { name ->
         val step = accepted.getValue(name.jobId).description.steps[name.step]
-        TaskModel(step.size, step.estimateMs, accepted.getValue(name.jobId).account, step.requiredLabel)
+        val runTimeMs = runTimesMs[StepName(name.jobId, name.occurrence, name.step)] ?: step.estimateMs
+        TaskModel(step.size, runTimeMs, accepted.getValue(name.jobId).account, step.requiredLabel)
     }
     private val entries = HashMap<String, WorkerEntry>()
 
     /** The processes that do not lead. */
     val voters = SimulatedVoters(store, ::nowMs)
 
+    /** The advice service gives no answers. */
+    var isAdviceSilent: Boolean = false
+
     /** Advice terms of the queues of subsequently submitted jobs. */
     var adviceTerms: AdviceTerms? = null
 
@@ -116,6 +123,7 @@
     /** Takes as long as the queue's terms specify; a fixed third of the workers may run a step. */
     private suspend fun advise(step: StepName, workerIds: List<String>): List<AdviceTicket> {
         val terms = accepted.getValue(step.jobId).terms.advice ?: return emptyList()
+        while (isAdviceSilent) delay(ADVICE_POLL_MS)
         delay((terms.decisionMs + terms.perWorkerMs * workerIds.size).toLong())
         return workerIds.filter { Math.floorMod("$step/$it".hashCode(), ELIGIBLE_WORKER_EVERY) == 0 }
             .map { AdviceTicket(it, "ticket") }
@@ -241,7 +249,6 @@
         val terms = QueueTerms("queue-$priority", SERVICE, priority, attempts, 2.0, 1_000, adviceTerms)
         val job = AcceptedJob(id, JobDescription("payload", steps.toList()), terms, nowMs(), account)
         accepted[id] = job
-        durations[id] = steps.maxOf { it.estimateMs }
         return job
     }
 
@@ -267,6 +274,8 @@
 
     val jobIds: Set<String> get() = accepted.keys
 
+    fun acceptedJob(id: String): AcceptedJob = accepted.getValue(id)
+
     suspend fun awaitPhase(id: String, phase: JobPhase, withinMs: Long): Boolean =
         holdsWithin(withinMs) { phaseOf(id) == phase }
 
--- a/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
+++ b/stand-ins/src/main/kotlin/dev/bronzeshore/standins/cluster/RunInvariantChecker.kt
@@ -51,6 +51,13 @@
     public fun workersOf(jobId: String): Set<String> =
         runningOn.filterKeys { it.jobId == jobId }.values.flatten().mapTo(HashSet()) { (_, workerId) -> workerId }
 
+    /** Tasks that have runs on the worker now. */
+    public fun tasksOn(workerId: String): Set<TaskName> =
+        runningOn.filterValues { runs -> runs.any { (_, id) -> id == workerId } }.keys
+
+    /** True if the task has a run now. */
+    public fun isRunning(task: TaskName): Boolean = runningOn[task]?.isNotEmpty() ?: false
+
     /** Number of the job's runs on all workers now. */
     public fun runningOf(jobId: String): Int = runningOn.filterKeys { it.jobId == jobId }.values.sumOf { it.size }
 
