Let the soak hand in gangs that the workers cannot hold

The soak had no gang that cannot start, and took a job for lost only a minute after the last submission, so that it never showed idle workers which are kept for nothing.

Change: five of a thousand jobs (ten of those of booking sites) are gangs with more members than their limit for each worker allows. When the submissions have ended, two jobs come whose second step is late by its estimate.

--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/Soak.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/Soak.kt
@@ -6,12 +6,18 @@
 private const val WARM_UP_MS = 3_000L
 private const val QUIET_MS = 60_000L
 
+/** Time after the last submission from which on work must go on, whatever has been disturbed. */
+private const val FINISH_MS = 14_000L
+private const val LATE_JOBS = 2
+private const val LATE_JOB_ID = 0x1a7e_0000L
+private const val LATE_ESTIMATE_MS = 400L
+
 /** Log lines of processes this long before and after a violation belong to its report. */
 private const val REPORT_BEFORE_MS = 15_000L
 private const val REPORT_AFTER_MS = 1_500L
 private val REPORTED_EVENTS = listOf(
     "worker_", "takeover", "gained", "\"lost\"", "recovery_", "released", "start_un", "journal_failed", "run_lost",
-    "renewal_failed", "fenced", "run_adopted",
+    "renewal_failed", "fenced", "run_adopted", "gang_reserved", "gang_cannot_start", "kept_capacity_used",
 )
 
 internal class Soak(private val options: SoakOptions, private val folder: Path) {
@@ -30,13 +36,32 @@
         log.add("faults have ended")
         deployment.awaitUntil(WARM_UP_MS) { false }
         deployment.clients.stopSubmitting()
-        deployment.awaitUntil(QUIET_MS) { openJobs().isEmpty() }
+        repeat(LATE_JOBS) { deployment.clients.submit(lateJob(it)) }
+        val finishedAtMs = log.nowMs + FINISH_MS
+        val idleMonitor = SoakIdleMonitor(deployment)
+        deployment.awaitUntil(QUIET_MS) {
+            if (log.nowMs >= finishedAtMs) idleMonitor.sample()
+            openJobs().isEmpty()
+        }
         openJobs().forEach { checker.report("LOST", it.id, "job ${it.path} is ${it.state.ifEmpty { "not shown" }}") }
         deployment.clients.jobs.filter { it.isAccepted }.forEach { checker.checkShownState(it) }
         result()
     }
 
-    private fun openJobs() = deployment.clients.jobs.filter { it.isAccepted && !it.isEnded && !it.isCancelSent }
+    private fun openJobs() = deployment.clients.jobs.filter {
+        it.isAccepted &&
+            !it.isEnded &&
+            !it.isCancelSent &&
+            !it.payload.isHopeless
+    }
+
+    /** A job whose second step is late by the estimates, and whose turn comes when all others have ended. */
+    private fun lateJob(number: Int): SoakJob {
+        val first = SoakStep(1, millicores = 1_000, workMs = FINISH_MS + WARM_UP_MS, estimateMs = LATE_ESTIMATE_MS)
+        val second = first.copy(workMs = LATE_ESTIMATE_MS, after = 0)
+        val id = "%016x".format(LATE_JOB_ID + number)
+        return SoakJob(id, SoakQueue.SHORT, SoakPayload(listOf(first, second)), isCancelled = false)
+    }
 
     private fun result(): SoakResult {
         val states = deployment.clients.jobs.groupingBy { it.state }.eachCount()
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakChecker.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakChecker.kt
@@ -53,6 +53,18 @@
         if (wallMs < model.dueWallMs - EARLY_MS) report("ORDER", run.task, "before ${model.dueWallMs}: $run")
     }
 
+    /** Tasks of a step whose turn has come and that have no run and are not done; 0 if it has not. */
+    @Synchronized
+    fun waitingTasks(job: SoakJob, step: Int): Int {
+        fun hasEnded(task: String) = runsOf[task].orEmpty().any { it.end == "done" }
+        val payload = job.payload
+        val after = payload.steps[step].after
+        if (after != null && !payload.tasksOf(job.id, 0, after).all(::hasEnded)) return 0
+        return payload.tasksOf(job.id, 0, step).count { task ->
+            runsOf[task].orEmpty().none { it.isRunning } && !hasEnded(task)
+        }
+    }
+
     /** One end represents all members of a gang. */
     private fun isDone(model: SoakTaskModel, step: Int): Boolean {
         val ends = model.payload.tasksOf(model.job, model.occurrence, step)
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakClients.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakClients.kt
@@ -46,9 +46,13 @@
     private fun submitNext() {
         if (!isSubmitting) return
         val job = nextJob()
+        submit(job)
+        if (pick(30) == 0) later(2_000L + pick(4_000)) { send("POST", job.path, job.body) }
+    }
+
+    fun submit(job: SoakJob) {
         jobs += job
         later(0) { submit(job, 0) }
-        if (pick(30) == 0) later(2_000L + pick(4_000)) { send("POST", job.path, job.body) }
     }
 
     private fun pick(until: Int): Int = synchronized(random) { random.nextInt(until) }
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakJobSource.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakJobSource.kt
@@ -8,6 +8,16 @@
 /** Jobs with tasks that outlive a cut, of a thousand. */
 private const val LONG_JOBS = 60
 
+/** Gangs that the workers cannot hold, of a thousand jobs. */
+private const val HOPELESS_GANGS = 5
+private const val HOPELESS_MEMBERS = 100
+
+/** A gang that the workers hold by their capacity, but not with one member on each. */
+internal fun hopelessGang(): SoakPayload {
+    val step = SoakStep(HOPELESS_MEMBERS, millicores = 2_000, workMs = 800, isGang = true, maxPerWorker = 1)
+    return SoakPayload(listOf(step), isHopeless = true)
+}
+
 /** With [hasLongTasks], some tasks outlive a cut and the leases in it. */
 internal class SoakJobSource(private val random: Random, private val hasLongTasks: Boolean) {
     fun next(): SoakJob {
@@ -21,6 +31,7 @@
             kind < 15 -> SoakJob(id, FAILING_QUEUES.random(random), payload(2, 1_000, 800, fail), isCancelled)
             kind < 60 -> SoakJob(id, SoakQueue.WIDE, payload(10, 2_000, 3_400), isCancelled)
             kind < 90 -> SoakJob(id, SoakQueue.WIDE, payload(12, 2_000, 6_200), isCancelled)
+            kind < 90 + HOPELESS_GANGS -> SoakJob(id, SoakQueue.WIDE, hopelessGang(), isCancelled)
             else -> SoakJob(id, SoakQueue.SHORT, payload(2, 1_000, 800), isCancelled)
         }
     }
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakPayload.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakPayload.kt
@@ -26,6 +26,8 @@
     val label: String = "",
     val maxPerWorker: Int = 0,
     val dataRack: String = "",
+    /** What the submission says of [workMs]; 0 stands for the same. */
+    val estimateMs: Long = 0,
 )
 
 @Serializable
@@ -35,6 +37,8 @@
     val startWallMs: Long = 0,
     val periodMs: Long = 0,
     val isAdvised: Boolean = false,
+    /** The workers cannot hold a gang of the job, so that it never ends. */
+    val isHopeless: Boolean = false,
 ) {
     val mayFail: Boolean get() = steps.any { it.failsAfterMs > 0 }
 
@@ -57,7 +61,7 @@
         put("replicas", step.replicas)
         put("cpu", step.millicores)
         put("mem_mb", MEMORY_MIB)
-        put("estimate_ms", step.workMs)
+        put("estimate_ms", if (step.estimateMs > 0) step.estimateMs else step.workMs)
         step.after?.let { earlier -> putJsonArray("after") { add(earlier) } }
         if (step.isGang) put("gang", true)
         if (step.isCheckpointable) put("checkpointable", true)
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakSiteJobSource.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakSiteJobSource.kt
@@ -6,6 +6,9 @@
 
 private const val RACKS = 3
 
+/** Gangs that the workers cannot hold, of a thousand jobs. */
+private const val HOPELESS_GANGS = 10
+
 /** Ten a second use some 140 cores. */
 internal class SoakSiteJobSource(private val random: Random) {
     fun next(): SoakJob {
@@ -13,6 +16,7 @@
         val kind = random.nextInt(1_000)
         return when {
             kind < 60 -> SoakJob(id, SoakQueue.RENDER, payload(0.2, ::renderStep), isCancelled = false)
+            kind < 60 + HOPELESS_GANGS -> SoakJob(id, SoakQueue.SHORT, hopelessGang(), isCancelled = false)
             kind < 160 -> SoakJob(id, SoakQueue.LAYOUT, payload(0.5, ::layoutStep), random.nextInt(20) == 0)
             // No worker with the label might be allowed by the advice as well, so that the job could not be done.
             kind < 240 -> SoakJob(id, SoakQueue.SHORT, SoakPayload(listOf(checkStep().copy(label = "b"))), false)
--- a/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakWorker.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/soak/SoakWorker.kt
@@ -30,7 +30,7 @@
     private val random = Random(seed)
 
     /** The worker's kind, which is one of two, and its rack. */
-    private val labels = setOf(if (random.nextBoolean()) "a" else "b", place.rack)
+    val labels = setOf(if (random.nextBoolean()) "a" else "b", place.rack)
 
     @Volatile
     private var server = SoakHttpServer(port) { serve(it) }
