Test that a gang which cannot start gives up workers for its suspected members

CrashTrials reserved workers for the suspected members again and again, although there was no room for the others.

--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/KeptCapacityTest.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/KeptCapacityTest.kt
@@ -158,6 +158,23 @@
             submit(THIRD_GANG, gang(3 * count, cores = 5, maxPerWorker = 2), priority = 2)
         }
 
+        /**
+         * Half of the gang's workers crash right after its start, and come back too small for it; the others crash when
+         * their runs are proven.
+         */
+        private suspend fun SchedulerSimulation.crashGangForGood() {
+            submit(GANG, step(12, cores = 8, LONG_MS, isGang = true))
+            awaitUntil { workers.checker.runningCount == 12 }
+            val (first, last) = workers.ids.sorted().let { it.take(3) to it.drop(3) }
+            first.forEach { workers.crashAndReplace(it) }
+            delay(UNREACHABLE_AFTER_MS)
+            last.forEach { workers.crashAndReplace(it) }
+            awaitUntil { workers.ids.containsAll((first + last).map { "$it+" }) }
+            val small = WORKER_CAPACITY.copy(processorsMillicores = 1_000)
+            first.forEach { id -> workers.update("$id+") { it.copy(capacity = small) } }
+            delay(UNREACHABLE_AFTER_MS)
+        }
+
         /** Hands in jobs whose tasks have workers, and whose tickets expire before these are free. */
         private suspend fun SchedulerSimulation.submitWithoutTickets() {
             occupy(workerCount = 7, durationMs = 1_000)
@@ -218,6 +235,7 @@
                 submit(GANG, gang(8, cores = 4), account = ACCOUNT)
             },
             Blocked("tickets are not renewed") { submitWithoutTickets() },
+            Blocked("members that are suspected to crash their workers", workers = 6) { crashGangForGood() },
             Blocked("a new leader again and again", hasLeaderChanges = true) {
                 startService()
                 submit(GANG, gang(7, cores = 16))
