--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CapacityKeeper.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CapacityKeeper.kt
@@ -33,7 +33,7 @@
 /** Workers that a gang has reserved are preferred as if their places were free so much sooner. */
 private const val KEPT_PLACE_BONUS_MS = 1_000L
 
-/** What is reserved on a service's workers in a round; [workers] counts a part of a worker as such. */
+/** What is reserved on a service's workers in a round; a half-reserved worker counts as 0.5 in [workers]. */
 private data class ServiceReservations(val gangs: Int = 0, val workers: Double = 0.0)
 
 internal class CapacityKeeper(
@@ -153,7 +153,7 @@
         }
     }
 
-    /** True if the step, which only kept capacity keeps from starting, has waited for that long enough. */
+    /** True if the step may use kept capacity: nothing else keeps it from starting, and it has waited long enough. */
     fun hasWaitedEnough(step: TrackedStep, workers: List<RoundWorker>): Boolean {
         if (step.noteKeptOut(now) < MAX_KEPT_OUT_MS) return false
         return step.description.isService || !isBusy.getOrPut(step.job.terms.service) { areBusy(workers) }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/RoundWorker.kt
@@ -75,7 +75,7 @@
         return free.atMost((freeThen - kept).atLeast(Resources.NONE))
     }
 
-    /** Tasks of [step] that the worker takes if [room] is free. The only answer to this question. */
+    /** Tasks of [step] that the worker takes if [room] is free; placing and reserving must not differ in this. */
     fun placesFor(step: TrackedStep, room: Resources): Int = minOf(step.taskDemand.countIn(room), placesLeft(step))
 
     fun placesWhenIdle(step: TrackedStep): Int = placesFor(step, worker.entry.capacity)
@@ -86,7 +86,7 @@
         return limit - step.tasks.count { it.placement?.worker === worker }
     }
 
-    /** When up to [most] places for tasks of [step] become free, beside what is kept for others. */
+    /** When up to [most] places for tasks of [step] are expected to be free, beside what is kept for others. */
     fun expectedPlaces(step: TrackedStep, most: Int): List<ExpectedPlace> {
         val places = ArrayList<ExpectedPlace>()
         var room = free - kept
