Keep capacity for tickets unless the advice service fails

Cause suspected: a step that had waited for 2 s could use capacity for which another step had asked for tickets. Not shown by a trace.

Change: this capacity is taken for others only after a call for the step has failed and as long as none has been answered. KeptCapacityTest holds (the service is silent in one case); the simulated service now respects the time limit of a call, as the client does.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/AdviceDispatcher.kt
@@ -103,7 +103,7 @@
     ) {
         val now = context.clock()
         if (answer == null) {
-            step.advice.notBeforeMs = now + RETRY_PAUSE_MS
+            step.advice.recordFailure(retryAtMs = now + RETRY_PAUSE_MS)
             pausedUntilMs[client.name] = now + CLIENT_PAUSE_MS
             context.metrics.advice("failed")
             context.log.event("advice_failed", "step" to step.name, "caller" to client.name)
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -243,8 +243,7 @@
         if (withoutTicket.isNotEmpty()) {
             renewTickets(step, assignments.map { it.target })
             val waiting = if (step.description.isGang) assignments else withoutTicket
-            waiting.forEach { it.target.keep(step, count = 1) }
-            budget.keep(step, waiting.size)
+            keepUntilTickets(step, waiting)
             if (step.description.isGang) return keeper.countWait(step, GangWait.TICKETS)
         }
         ready.forEach { it.target.take(step) }
@@ -258,6 +257,20 @@
         }
     }
 
+    /**
+     * Keeps the capacity of tasks that wait for tickets. Others may not use it after a time, as the tickets would be of
+     * no use then, unless the advice service fails.
+     */
+    private fun keepUntilTickets(step: TrackedStep, waiting: List<Assignment>) {
+        if (step.advice.hasFailed) {
+            waiting.forEach { it.target.keep(step, count = 1) }
+            budget.keep(step, waiting.size)
+        } else {
+            waiting.forEach { it.target.take(step) }
+            budget.take(step, waiting.size)
+        }
+    }
+
     /** Reserves capacity for a gang that does not fit now, if it is known when it will. */
     private fun reserveForGang(step: TrackedStep, count: Int, workers: List<RoundWorker>, good: List<RoundWorker>) {
         val isAdviceMissing = step.needsAdvice && workers.any { !step.advice.isAsked(it.worker.incarnation) }
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/StepAdvice.kt
@@ -20,7 +20,11 @@
     private val inFlight = HashSet<WorkerIncarnation>()
 
     /** Monotonic time before which the service is not called again, after a failed call. */
-    var notBeforeMs: Long = Long.MIN_VALUE
+    private var notBeforeMs: Long = Long.MIN_VALUE
+
+    /** The last call has failed; there has been no answer since. */
+    var hasFailed: Boolean = false
+        private set
 
     val isKnown: Boolean get() = asked.isNotEmpty()
 
@@ -48,8 +52,15 @@
         inFlight -= workers.toSet()
     }
 
+    /** Records that a call has failed; the next one is made at [retryAtMs] at the earliest. */
+    fun recordFailure(retryAtMs: Long) {
+        hasFailed = true
+        notBeforeMs = retryAtMs
+    }
+
     /** Records an answer, which leaves out the workers that may not run the step. */
     fun record(askedWorkers: List<WorkerIncarnation>, answer: List<AdviceTicket>, validUntilMs: Long) {
+        hasFailed = false
         asked += askedWorkers
         val ticketOf = answer.associate { it.workerId to it.ticket }
         for (worker in askedWorkers) {
--- a/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
+++ b/server/src/test/kotlin/dev/bronzeshore/server/cluster/SchedulerSimulation.kt
@@ -50,6 +50,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.coroutines.ContinuationInterceptor
 import kotlin.random.Random
 
@@ -98,7 +99,9 @@
     var accounts: ClientAccounts? = null
 
     private val adviceClients =
-        List(ADVICE_CALLERS) { AdviceClient("n$it") { step, workers, _ -> advise(step, workers) } }
+        List(ADVICE_CALLERS) {
+            AdviceClient("n$it") { step, workers, timeoutMs -> withTimeoutOrNull(timeoutMs) { advise(step, workers) } }
+        }
     private var term = 0L
     private var leader: Job? = null
     private val jobs = HashMap<Long, Job>()
