Let one step of a service use kept capacity in a round

Cause: in a backlog that is bound by advice calls, a service is less than half used and hundreds of steps have waited for 2 s. All of them could use at once what gangs had collected, so that gangs reserved and asked for tickets again and again. And a step that waited for workers it knew counted only what is expected to become free there, and asked about more workers sooner.

Change: one step of a service uses kept capacity in a round, and with a valid ticket if it needs advice. Whether a step knows enough workers is judged by idle workers again, with the limit for each worker.

KeptCapacityTest and IdleWorkerSearchTest hold.

--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CapacityKeeper.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/CapacityKeeper.kt
@@ -46,6 +46,9 @@
     private val endlessUsage = HashMap<String, Resources>()
     private val waits = HashMap<GangWait, Int>()
 
+    /** Services in which a step uses kept capacity in this round. */
+    private val servicesWithUse = HashSet<String>()
+
     /** What the gangs wait for, with their numbers. */
     val gangWaits: Map<GangWait, Int> get() = waits
 
@@ -153,10 +156,15 @@
         }
     }
 
-    /** True if the step may use kept capacity: nothing else keeps it from starting, and it has waited long enough. */
+    /**
+     * True if the step may use kept capacity: nothing else keeps it from starting, and it has waited long enough. One
+     * step of a service does so in a round; otherwise a backlog takes all that gangs have collected at once.
+     */
     fun hasWaitedEnough(step: TrackedStep, workers: List<RoundWorker>): Boolean {
         if (step.noteKeptOut(now) < MAX_KEPT_OUT_MS) return false
-        return step.description.isService || !isBusy.getOrPut(step.job.terms.service) { areBusy(workers) }
+        if (step.description.isService) return true
+        if (isBusy.getOrPut(step.job.terms.service) { areBusy(workers) }) return false
+        return servicesWithUse.add(step.job.terms.service)
     }
 
     private fun areBusy(workers: List<RoundWorker>): Boolean {
--- a/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
+++ b/scheduler/src/main/kotlin/dev/bronzeshore/scheduler/PlanningRound.kt
@@ -51,8 +51,11 @@
         good: List<RoundWorker>,
     ) {
         var assignments = assign(step, tasks, good)
-        if (assignments.size < tasks.size && mayUseKept(step, tasks.size, good)) {
-            assignments = assign(step, tasks, good, usesKept = true)
+        if (assignments.size < tasks.size) {
+            val ready = good.filter { mayStartOn(it, step) }
+            if (mayUseKept(step, tasks.size, ready)) {
+                assignments = maxOf(assignments, assign(step, tasks, ready, usesKept = true), compareBy { it.size })
+            }
         }
         reserveForTrials(step, tasks, good, assignments)
         val missing = tasks.size - assignments.size
@@ -64,7 +67,7 @@
         }
     }
 
-    /** True if the step has waited long enough for capacity that is kept for others alone. */
+    /** True if the step has waited long enough for capacity of [good] that is kept for others alone. */
     private fun mayUseKept(step: TrackedStep, count: Int, good: List<RoundWorker>): Boolean {
         val keeping = good.filter { it.keptFor.isNotEmpty() }
         if (keeping.isEmpty()) return false
@@ -220,7 +223,7 @@
     /** True if the step can wait for the workers that it knows; a gang needs some choice among them. */
     private fun hasEnoughGood(step: TrackedStep, good: List<RoundWorker>): Boolean {
         val wanted = if (step.description.isGang) ENOUGH_KNOWN * step.tasks.size else 1.0
-        return good.sumOf { it.placesFor(step, it.eventualRoom).coerceIn(0, step.tasks.size) } >= wanted
+        return good.sumOf { it.placesWhenIdle(step).coerceIn(0, step.tasks.size) } >= wanted
     }
 
     /**
@@ -235,11 +238,13 @@
         if (expiring.isNotEmpty()) adviceNeeds.add(AdviceNeed(step, expiring))
     }
 
+    /** True if a task of the step needs no new ticket for the worker. */
+    private fun mayStartOn(target: RoundWorker, step: TrackedStep): Boolean =
+        !step.needsAdvice || step.advice.ticketFor(target.worker.incarnation, now) != null
+
     /** Starts the tasks with valid tickets and keeps the capacity of the others until their tickets arrive. */
     private fun startOrRenew(step: TrackedStep, assignments: List<Assignment>) {
-        val (ready, withoutTicket) = assignments.partition {
-            !step.needsAdvice || step.advice.ticketFor(it.target.worker.incarnation, now) != null
-        }
+        val (ready, withoutTicket) = assignments.partition { mayStartOn(it.target, step) }
         if (withoutTicket.isNotEmpty()) {
             renewTickets(step, assignments.map { it.target })
             val waiting = if (step.description.isGang) assignments else withoutTicket
